--- a/src/include/papayabridge/control_state.hpp
+++ b/src/include/papayabridge/control_state.hpp
@@ -13,6 +13,7 @@
 #include <optional>
 #include <papayabridge/error.hpp>
 #include <papayabridge/ids.hpp>
+#include <papayabridge/pool_state.hpp>
 #include <string>
 #include <variant>
 #include <vector>
@@ -177,8 +178,11 @@
 };
 
 /// Any command.
-using command = std::variant<change_configuration, register_entry, set_entry_condition,
-                             announce_member, begin_transition, complete_transition>;
+using command =
+    std::variant<change_configuration, register_entry, set_entry_condition,
+                 announce_member, begin_transition, complete_transition,
+                 publish_configuration, register_keeper, report_member, remove_member,
+                 begin_promotion, choose_target, confirm_primary, read_barrier>;
 
 /// A command as JSON, and back. `bad_request` if malformed.
 Json::Value to_value(const command& change);
@@ -213,6 +217,8 @@
     {
         return databases_;
     }
+    /// What pooled services need.
+    const pool_state& pool() const noexcept { return pool_; }
     /// Entry \p id, or null.
     const entry_record* entry(const entry_id& id) const;
     /// Database \p key, or null.
@@ -236,6 +242,13 @@
     command_outcome run(const announce_member& change);
     command_outcome run(const begin_transition& change);
     command_outcome run(const complete_transition& change);
+    /// The commands of pool_state.hpp, which are never refused.
+    template <class Change>
+    command_outcome run(const Change& change)
+    {
+        pool_.run(applied_, change);
+        return {};
+    }
 
     bool takes_work(const entry_id& id) const;
     entry_id choose_gate(const member_record& member) const;
@@ -257,6 +270,7 @@
     std::deque<past_change> past_changes_;
     std::map<entry_id, entry_record> entries_;
     std::map<database_key, database_record> databases_;
+    pool_state pool_;
 };
 
 /// The names of enumerators, as in JSON.
--- a/src/include/papayabridge/daemon.hpp
+++ b/src/include/papayabridge/daemon.hpp
@@ -51,6 +51,9 @@
 /// only a check was asked for.
 void finish_settings(const daemon_options& options, const settings_document& document);
 
+/// Ends the process without destroying what calls that are still waiting refer to.
+[[noreturn]] void end_process(exit_code code);
+
 /// One context for control and N for traffic, a thread each.
 class daemon_runtime
 {
@@ -63,8 +66,9 @@
     std::vector<boost::asio::io_context*> traffic() const;
 
     /// Runs until stop(); \p on_signal is called on the control thread at the first
-    /// SIGTERM or SIGINT, and a second one ends the process at once.
-    void run(std::function<void()> on_signal);
+    /// SIGTERM or SIGINT, and a second one ends the process at once. \p on_reload is
+    /// called at each SIGHUP.
+    void run(std::function<void()> on_signal, std::function<void()> on_reload = {});
     /// Ends run(). Thread-safe.
     void stop();
 
--- a/src/include/papayabridge/settings.hpp
+++ b/src/include/papayabridge/settings.hpp
@@ -103,6 +103,10 @@
     /// Each element of a list of "address:port" strings; empty if absent.
     std::vector<boost::asio::ip::tcp::endpoint> endpoints(const char* name);
 
+    /// Where keepers may be found: the list "seeds", each with the port "keeper_port" in
+    /// place of its own, if that is given.
+    std::vector<boost::asio::ip::tcp::endpoint> seeds();
+
     /// Reports that member \p name has a value that clashes or is not accepted.
     void refuse(const char* name, std::string accepted);
     /// Reports members that nobody read.
--- a/src/libpapayabridge/core/consensus.cpp
+++ b/src/libpapayabridge/core/consensus.cpp
@@ -64,6 +64,14 @@
     return now - leader_heard_ < 2 * options_.election_timeout ? leader_ : keeper_id();
 }
 
+void consensus::add_peer(const keeper_id& peer, steady_time now)
+{
+    if (peer == options_.self || peers_.count(peer) != 0) {
+        return;
+    }
+    peers_[peer] = progress{.next = log_.last_index().next(), .heard = now};
+}
+
 std::optional<steady_time> consensus::heard(const keeper_id& peer) const
 {
     auto found = peers_.find(peer);
--- a/src/libpapayabridge/core/consensus.hpp
+++ b/src/libpapayabridge/core/consensus.hpp
@@ -28,6 +28,11 @@
     std::chrono::milliseconds heartbeat{80};
     /// Seed of the random election timeouts.
     std::uint64_t seed = 0;
+    /// No more voters are admitted than so many; 0 for no limit.
+    std::size_t most_voters = 0;
+    /// Where no more voters are admitted, one that is silent for so long is replaced by
+    /// a keeper that holds everything.
+    std::chrono::milliseconds replace_after{2000};
 };
 
 /// What a keeper found on its disk.
@@ -90,6 +95,9 @@
     /// Hands leadership to the voter that holds most; does nothing if there is none.
     void transfer_leadership(steady_time now);
 
+    /// Makes \p peer known; its messages are taken from now on.
+    void add_peer(const keeper_id& peer, steady_time now);
+
     /// What is to be done since the last call.
     consensus_output take_output();
     /// The writes of the last output are durable.
@@ -130,6 +138,7 @@
         control_index commit;
         std::optional<steady_time> snapshot_sent;
         std::optional<steady_time> heard;
+        steady_time sent;
     };
 
     void on(const consensus_message& message, const vote_request& request);
@@ -158,6 +167,9 @@
     void advance_commit();
     bool is_held_by_quorum(control_index index) const;
     void admit_if_complete(const keeper_id& id);
+    std::optional<keeper_id> place_for(const keeper_id& id,
+                                       const voter_map& voters) const;
+    bool is_due(const keeper_id& id, const progress& peer) const;
     void check_quorum();
     void continue_transfer();
 
--- a/src/libpapayabridge/core/consensus_codec.cpp
+++ b/src/libpapayabridge/core/consensus_codec.cpp
@@ -182,6 +182,9 @@
     if (const auto* admitted = std::get_if<admit_keeper>(&entry.body)) {
         value["admit"] = admitted->id.str();
         value["incarnation"] = number(admitted->incarnation);
+        if (!admitted->replaces.empty()) {
+            value["replaces"] = admitted->replaces.str();
+        }
     }
     return value;
 }
@@ -199,7 +202,8 @@
     } else if (value.isMember("admit")) {
         entry.body = admit_keeper{.id = keeper_id(text_of(value, "admit")),
                                   .incarnation =
-                                      count_of<keeper_incarnation>(value, "incarnation")};
+                                      count_of<keeper_incarnation>(value, "incarnation"),
+                                  .replaces = keeper_id(text_of(value, "replaces"))};
     }
     return entry;
 }
--- a/src/libpapayabridge/core/consensus_log.cpp
+++ b/src/libpapayabridge/core/consensus_log.cpp
@@ -88,6 +88,7 @@
             break;
         }
         const auto& change = std::get<admit_keeper>(at(at_index).body);
+        voters.erase(change.replaces);
         voters[change.id] = change.incarnation;
     }
     return voters;
--- a/src/libpapayabridge/core/consensus_messages.hpp
+++ b/src/libpapayabridge/core/consensus_messages.hpp
@@ -38,6 +38,8 @@
 {
     keeper_id id;
     keeper_incarnation incarnation;
+    /// The voter that it takes the place of; empty if it is one more.
+    keeper_id replaces;
     friend bool operator==(const admit_keeper&, const admit_keeper&) = default;
 };
 
--- a/src/libpapayabridge/core/consensus_replication.cpp
+++ b/src/libpapayabridge/core/consensus_replication.cpp
@@ -11,6 +11,9 @@
 constexpr std::size_t entries_per_message = 256;
 // A snapshot that is not answered for this many election timeouts is sent again.
 constexpr int snapshot_patience = 5;
+// A keeper without a vote that is silent for longer is asked only now and then.
+constexpr std::chrono::seconds gone_after{10};
+constexpr std::chrono::seconds gone_retry{2};
 
 } // namespace
 
@@ -32,16 +35,27 @@
     return place;
 }
 
+// A keeper that does not vote and has long been silent is probably gone for good.
+bool consensus::is_due(const keeper_id& id, const progress& peer) const
+{
+    auto voters = log_.voters_at(log_.last_index());
+    bool silent = !peer.heard || now_ - *peer.heard > gone_after;
+    return voters.count(id) != 0 || !silent || now_ - peer.sent > gone_retry;
+}
+
 void consensus::broadcast()
 {
     for (const auto& [id, peer] : peers_) {
-        send_append(id);
+        if (is_due(id, peer)) {
+            send_append(id);
+        }
     }
 }
 
 void consensus::send_append(const keeper_id& to)
 {
     auto& peer = peers_[to];
+    peer.sent = now_;
     auto previous = control_index(peer.next.value() - 1);
     auto previous_term = log_.term_at(previous);
     if (!previous_term) {
@@ -216,9 +230,36 @@
     auto found = voters.find(id);
     bool admitted = found != voters.end() && found->second == peer.incarnation;
     bool settled = commit_ >= first_of_term_ && log_.last_membership() <= commit_;
-    if (!admitted && settled && peer.match >= commit_ && !is_transferring()) {
-        append_own(admit_keeper{.id = id, .incarnation = peer.incarnation});
+    if (admitted || !settled || peer.match < commit_ || is_transferring()) {
+        return;
+    }
+    auto place = place_for(id, voters);
+    if (place) {
+        append_own(
+            admit_keeper{.id = id, .incarnation = peer.incarnation, .replaces = *place});
+    }
+}
+
+// The voter that \p id may replace, empty if it needs none; nothing if it has to wait.
+std::optional<keeper_id> consensus::place_for(const keeper_id& id,
+                                              const voter_map& voters) const
+{
+    bool has_room = options_.most_voters == 0 || voters.size() < options_.most_voters;
+    if (voters.count(id) != 0 || has_room) {
+        return keeper_id();
+    }
+    for (const auto& [voter, incarnation] : voters) {
+        if (voter == options_.self) {
+            continue;
+        }
+        auto found = peers_.find(voter);
+        auto heard = found == peers_.end() ? std::nullopt : found->second.heard;
+        auto last = std::max(heard.value_or(led_since_), led_since_);
+        if (now_ - last > options_.replace_after) {
+            return voter;
+        }
     }
+    return std::nullopt;
 }
 
 void consensus::check_quorum()
--- a/src/libpapayabridge/core/control_codec.cpp
+++ b/src/libpapayabridge/core/control_codec.cpp
@@ -1,5 +1,7 @@
 // JSON form of the control state, its commands and their outcomes.
 
+#include "pool_codec.hpp"
+
 #include <papayabridge/control_state.hpp>
 #include <papayabridge/json.hpp>
 
@@ -260,19 +262,38 @@
                                .primary = member_id(text_of(value, "primary"))};
 }
 
+template <auto Decode>
+command decoded(const Json::Value& value)
+{
+    return Decode(value);
+}
+
+command decode_read_barrier(const Json::Value&)
+{
+    return read_barrier{};
+}
+
 struct decoder
 {
     std::string_view name;
     command (*decode)(const Json::Value&);
 };
 
-constexpr std::array<decoder, 6> decoders{{
+constexpr std::array<decoder, 14> decoders{{
     {"change_configuration", decode_change_configuration},
     {"register_entry", decode_register_entry},
     {"set_entry_condition", decode_set_entry_condition},
     {"announce_member", decode_announce_member},
     {"begin_transition", decode_begin_transition},
     {"complete_transition", decode_complete_transition},
+    {"publish_configuration", decoded<publish_configuration_from>},
+    {"register_keeper", decoded<register_keeper_from>},
+    {"report_member", decoded<report_member_from>},
+    {"remove_member", decoded<remove_member_from>},
+    {"begin_promotion", decoded<begin_promotion_from>},
+    {"choose_target", decoded<choose_target_from>},
+    {"confirm_primary", decoded<confirm_primary_from>},
+    {"read_barrier", decode_read_barrier},
 }};
 
 } // namespace
@@ -358,6 +379,7 @@
     for (const auto& [key, database] : databases_) {
         value["databases"].append(to_value(database));
     }
+    value["pool"] = pool_.snapshot();
     return value;
 }
 
@@ -390,6 +412,7 @@
         auto database = database_from(item);
         state.databases_[database.key] = database;
     }
+    state.pool_ = pool_state::from_snapshot(value["pool"]);
     return state;
 }
 
--- /dev/null
+++ b/src/libpapayabridge/core/pool_codec.cpp
@@ -0,0 +1,265 @@
+#include "pool_codec.hpp"
+
+#include <papayabridge/json.hpp>
+
+namespace papayabridge {
+
+namespace {
+
+Json::Value number(std::uint64_t value)
+{
+    return Json::UInt64(value);
+}
+
+Json::Value to_value(const pooled_member& member)
+{
+    Json::Value value;
+    value["id"] = member.run.id.str();
+    value["started_ms"] = number(member.run.started_ms);
+    value["service"] = member.service.str();
+    value["endpoint"] = member.endpoint;
+    value["domain"] = member.domain.str();
+    value["slots"] = member.slots;
+    value["leaving"] = member.leaving;
+    value["claims_primary"] = member.claims_primary;
+    value["sequence"] = number(member.sequence);
+    return value;
+}
+
+member_run run_from(const Json::Value& value)
+{
+    return {.id = member_id(text_of(value, "id")),
+            .started_ms = number_of(value, "started_ms")};
+}
+
+pooled_member member_from(const Json::Value& value)
+{
+    return {.run = run_from(value),
+            .service = service_name(text_of(value, "service")),
+            .endpoint = text_of(value, "endpoint"),
+            .domain = domain_name(text_of(value, "domain")),
+            .slots = static_cast<unsigned>(number_of(value, "slots", 1)),
+            .leaving = flag_of(value, "leaving"),
+            .claims_primary = flag_of(value, "claims_primary"),
+            .sequence = number_of(value, "sequence")};
+}
+
+Json::Value to_value(const keeper_place& place)
+{
+    Json::Value value;
+    value["id"] = place.id.str();
+    value["rpc"] = place.rpc;
+    value["domain"] = place.domain.str();
+    return value;
+}
+
+keeper_place place_from(const Json::Value& value)
+{
+    return {.id = keeper_id(text_of(value, "id")),
+            .rpc = text_of(value, "rpc"),
+            .domain = domain_name(text_of(value, "domain"))};
+}
+
+Json::Value to_value(const pooled_service& service)
+{
+    Json::Value value;
+    value["primary"] = service.primary.str();
+    value["primary_changes"] = number(service.primary_changes);
+    if (service.pending) {
+        value["token"] = number(service.pending->fencing_token.value());
+        value["target"] = service.pending->target.str();
+    }
+    return value;
+}
+
+pooled_service service_from(const Json::Value& value)
+{
+    pooled_service service{.primary = member_id(text_of(value, "primary")),
+                           .primary_changes = number_of(value, "primary_changes")};
+    if (value.isMember("token")) {
+        service.pending =
+            promotion{.fencing_token = control_index(number_of(value, "token")),
+                      .target = member_id(text_of(value, "target"))};
+    }
+    return service;
+}
+
+Json::Value named(const char* command)
+{
+    Json::Value value;
+    value["do"] = command;
+    return value;
+}
+
+} // namespace
+
+Json::Value to_value(const member_trouble& trouble)
+{
+    Json::Value value;
+    value["entry"] = trouble.entry.str();
+    value["service"] = trouble.service.str();
+    value["member"] = trouble.member.str();
+    value["lasting_ms"] = number(static_cast<std::uint64_t>(trouble.lasting.count()));
+    return value;
+}
+
+member_trouble trouble_from(const Json::Value& value)
+{
+    return {.entry = entry_id(text_of(value, "entry")),
+            .service = service_name(text_of(value, "service")),
+            .member = member_id(text_of(value, "member")),
+            .lasting = std::chrono::milliseconds(number_of(value, "lasting_ms"))};
+}
+
+Json::Value encode(const publish_configuration& change)
+{
+    auto value = named("publish_configuration");
+    value["version"] = number(change.configuration.version.value());
+    value["text"] = change.configuration.text;
+    return value;
+}
+
+Json::Value encode(const register_keeper& change)
+{
+    auto value = named("register_keeper");
+    value["place"] = to_value(change.place);
+    return value;
+}
+
+Json::Value encode(const report_member& change)
+{
+    auto value = named("report_member");
+    value["member"] = to_value(change.member);
+    return value;
+}
+
+Json::Value encode(const remove_member& change)
+{
+    auto value = named("remove_member");
+    value["id"] = change.run.id.str();
+    value["started_ms"] = number(change.run.started_ms);
+    return value;
+}
+
+Json::Value encode(const begin_promotion& change)
+{
+    auto value = named("begin_promotion");
+    value["service"] = change.service.str();
+    value["reason"] = change.reason;
+    return value;
+}
+
+Json::Value encode(const choose_target& change)
+{
+    auto value = named("choose_target");
+    value["service"] = change.service.str();
+    value["token"] = number(change.fencing_token.value());
+    value["target"] = change.target.str();
+    return value;
+}
+
+Json::Value encode(const confirm_primary& change)
+{
+    auto value = named("confirm_primary");
+    value["service"] = change.service.str();
+    value["token"] = number(change.fencing_token.value());
+    value["primary"] = change.primary.str();
+    return value;
+}
+
+Json::Value encode(const read_barrier&)
+{
+    return named("read_barrier");
+}
+
+publish_configuration publish_configuration_from(const Json::Value& value)
+{
+    return {.configuration = {.version = config_version(number_of(value, "version")),
+                              .text = text_of(value, "text")}};
+}
+
+register_keeper register_keeper_from(const Json::Value& value)
+{
+    return {.place = place_from(value["place"])};
+}
+
+report_member report_member_from(const Json::Value& value)
+{
+    return {.member = member_from(value["member"])};
+}
+
+remove_member remove_member_from(const Json::Value& value)
+{
+    return {.run = run_from(value)};
+}
+
+begin_promotion begin_promotion_from(const Json::Value& value)
+{
+    return {.service = service_name(text_of(value, "service")),
+            .reason = text_of(value, "reason")};
+}
+
+choose_target choose_target_from(const Json::Value& value)
+{
+    return {.service = service_name(text_of(value, "service")),
+            .fencing_token = control_index(number_of(value, "token")),
+            .target = member_id(text_of(value, "target"))};
+}
+
+confirm_primary confirm_primary_from(const Json::Value& value)
+{
+    return {.service = service_name(text_of(value, "service")),
+            .fencing_token = control_index(number_of(value, "token")),
+            .primary = member_id(text_of(value, "primary"))};
+}
+
+Json::Value pool_state::snapshot() const
+{
+    Json::Value value;
+    value["version"] = number(configuration_.version.value());
+    value["text"] = configuration_.text;
+    value["keepers"] = Json::Value(Json::arrayValue);
+    for (const auto& [id, place] : keepers_) {
+        value["keepers"].append(to_value(place));
+    }
+    value["members"] = Json::Value(Json::arrayValue);
+    for (const auto& [id, member] : members_) {
+        value["members"].append(to_value(member));
+    }
+    value["services"] = Json::Value(Json::objectValue);
+    for (const auto& [name, service] : services_) {
+        value["services"][name.str()] = to_value(service);
+    }
+    value["removed"] = Json::Value(Json::objectValue);
+    for (const auto& [id, started_ms] : removed_) {
+        value["removed"][id.str()] = number(started_ms);
+    }
+    return value;
+}
+
+pool_state pool_state::from_snapshot(const Json::Value& value)
+{
+    pool_state state;
+    if (!value.isObject()) {
+        return state;
+    }
+    state.configuration_ = {.version = config_version(number_of(value, "version")),
+                            .text = text_of(value, "text")};
+    for (const auto& item : value["keepers"]) {
+        auto place = place_from(item);
+        state.keepers_[place.id] = place;
+    }
+    for (const auto& item : value["members"]) {
+        auto member = member_from(item);
+        state.members_[member.run.id] = member;
+    }
+    for (const auto& name : value["services"].getMemberNames()) {
+        state.services_[service_name(name)] = service_from(value["services"][name]);
+    }
+    for (const auto& name : value["removed"].getMemberNames()) {
+        state.removed_[member_id(name)] = number_of(value["removed"], name.c_str());
+    }
+    return state;
+}
+
+} // namespace papayabridge
--- /dev/null
+++ b/src/libpapayabridge/core/pool_state.cpp
@@ -0,0 +1,166 @@
+#include <papayabridge/json.hpp>
+#include <papayabridge/pool_state.hpp>
+
+#include <algorithm>
+
+namespace papayabridge {
+
+namespace {
+
+// Members that left are remembered until so many more have left.
+constexpr std::size_t removed_kept = 1000;
+
+} // namespace
+
+const pooled_member* pool_state::member(const member_id& id) const
+{
+    auto found = members_.find(id);
+    return found == members_.end() ? nullptr : &found->second;
+}
+
+std::vector<const pooled_member*>
+pool_state::members_of(const service_name& service) const
+{
+    std::vector<const pooled_member*> found;
+    for (const auto& [id, member] : members_) {
+        if (member.service == service) {
+            found.push_back(&member);
+        }
+    }
+    return found;
+}
+
+bool pool_state::is_removed(const member_run& run) const
+{
+    auto found = removed_.find(run.id);
+    return found != removed_.end() && found->second >= run.started_ms;
+}
+
+bool pool_state::is_news(const pooled_member& member) const
+{
+    if (is_removed(member.run)) {
+        return false;
+    }
+    const auto* known = this->member(member.run.id);
+    if (known == nullptr || known->run.started_ms < member.run.started_ms) {
+        return true;
+    }
+    bool older = known->run.started_ms > member.run.started_ms ||
+                 member.sequence <= known->sequence;
+    // What leaves does not come back in the same run.
+    bool returns = known->leaving && !member.leaving;
+    if (older || returns) {
+        return false;
+    }
+    return known->leaving != member.leaving ||
+           known->claims_primary != member.claims_primary ||
+           known->endpoint != member.endpoint || known->service != member.service ||
+           known->slots != member.slots || known->domain != member.domain;
+}
+
+void pool_state::run(control_index, const publish_configuration& change)
+{
+    if (change.configuration.version > configuration_.version) {
+        configuration_ = change.configuration;
+    }
+}
+
+void pool_state::run(control_index, const register_keeper& change)
+{
+    // An address belongs to the keeper that registered it last.
+    for (auto place = keepers_.begin(); place != keepers_.end();) {
+        bool superseded =
+            place->second.rpc == change.place.rpc && place->first != change.place.id;
+        place = superseded ? keepers_.erase(place) : std::next(place);
+    }
+    keepers_[change.place.id] = change.place;
+}
+
+// Two members cannot listen at one address; the one that started earlier is gone.
+void pool_state::drop_older_at(const pooled_member& arrived)
+{
+    for (auto member = members_.begin(); member != members_.end();) {
+        const auto& other = member->second;
+        bool replaced = other.endpoint == arrived.endpoint &&
+                        other.run.id != arrived.run.id &&
+                        other.run.started_ms < arrived.run.started_ms;
+        if (replaced) {
+            removed_[other.run.id] = other.run.started_ms;
+        }
+        member = replaced ? members_.erase(member) : std::next(member);
+    }
+}
+
+void pool_state::lead(const service_name& service, const member_id& primary)
+{
+    auto& record = services_[service];
+    if (record.primary != primary) {
+        record.primary = primary;
+        ++record.primary_changes;
+    }
+}
+
+void pool_state::run(control_index, const report_member& change)
+{
+    const auto& reported = change.member;
+    if (!is_news(reported)) {
+        return;
+    }
+    drop_older_at(reported);
+    members_[reported.run.id] = reported;
+    auto& service = services_[reported.service];
+    if (!reported.claims_primary) {
+        return;
+    }
+    bool promoted = service.pending && service.pending->target == reported.run.id;
+    bool vacant = service.primary.empty() || member(service.primary) == nullptr;
+    if (promoted || (vacant && !service.pending)) {
+        lead(reported.service, reported.run.id);
+        service.pending.reset();
+    }
+}
+
+void pool_state::run(control_index, const remove_member& change)
+{
+    const auto* known = member(change.run.id);
+    if (known != nullptr && known->run.started_ms <= change.run.started_ms) {
+        members_.erase(change.run.id);
+    }
+    auto& removed = removed_[change.run.id];
+    removed = std::max(removed, change.run.started_ms);
+    if (removed_.size() > removed_kept) {
+        auto oldest = std::min_element(
+            removed_.begin(), removed_.end(),
+            [](const auto& a, const auto& b) { return a.second < b.second; });
+        removed_.erase(oldest);
+    }
+}
+
+void pool_state::run(control_index index, const begin_promotion& change)
+{
+    services_[change.service].pending = promotion{.fencing_token = index};
+}
+
+void pool_state::run(control_index, const choose_target& change)
+{
+    auto& service = services_[change.service];
+    if (service.pending && service.pending->fencing_token == change.fencing_token) {
+        service.pending->target = change.target;
+    }
+}
+
+void pool_state::run(control_index, const confirm_primary& change)
+{
+    auto& service = services_[change.service];
+    auto pending = service.pending ? service.pending->fencing_token : control_index();
+    // An outcome of an earlier promotion says nothing once there is a later one.
+    if (pending != change.fencing_token) {
+        return;
+    }
+    service.pending.reset();
+    lead(change.service, change.primary);
+}
+
+void pool_state::run(control_index, const read_barrier&) {}
+
+} // namespace papayabridge
--- a/src/libpapayabridge/net/keeper_client.cpp
+++ b/src/libpapayabridge/net/keeper_client.cpp
@@ -14,6 +14,7 @@
 constexpr std::chrono::milliseconds failure_pause{20};
 constexpr std::chrono::milliseconds watch_grace{700};
 constexpr std::chrono::milliseconds status_timeout{1000};
+constexpr std::chrono::milliseconds tell_timeout{300};
 // How long another keeper is used before the nearest is tried again.
 constexpr std::chrono::seconds nearest_rest{5};
 
@@ -63,6 +64,24 @@
     return keepers_[current_];
 }
 
+void keeper_client::use(std::vector<tcp::endpoint> keepers)
+{
+    if (keepers != keepers_) {
+        keepers_ = std::move(keepers);
+        current_ = 0;
+    }
+}
+
+net::awaitable<void> keeper_client::tell_trouble(member_trouble trouble)
+{
+    rpc_message request;
+    request.body = to_value(trouble);
+    auto deadline = steady_clock::now() + tell_timeout;
+    auto place = preferred();
+    static_cast<void>(co_await clients_->to(place).call("keeper.trouble",
+                                                        std::move(request), deadline));
+}
+
 net::awaitable<result<command_outcome>> keeper_client::propose(command change,
                                                                time_point deadline)
 {
--- /dev/null
+++ b/src/libpapayabridge/session/member_connection.cpp
@@ -0,0 +1,188 @@
+#include "member_connection.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace papayabridge {
+
+namespace {
+
+constexpr auto use_tuple = net::as_tuple(net::use_awaitable);
+constexpr std::size_t read_bytes = 4096;
+// Rows of one answer, in bytes; a larger answer is refused as a whole.
+constexpr std::size_t answer_limit = 16 * 1024 * 1024;
+// An idle peer is asked for a sign of life after so long, and so often until it is
+// given up, in seconds.
+constexpr int keepalive_idle = 5;
+constexpr int keepalive_interval = 2;
+constexpr int keepalive_probes = 3;
+// Unacknowledged bytes end the connection after so long.
+constexpr unsigned unacknowledged_ms = 4000;
+
+template <class Value>
+void set_tcp_option(tcp::socket& socket, int name, Value value)
+{
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, name, &value, sizeof value);
+}
+
+} // namespace
+
+void set_statement_options(tcp::socket& socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(net::socket_base::keep_alive(true), ignored);
+    set_tcp_option(socket, TCP_KEEPIDLE, keepalive_idle);
+    set_tcp_option(socket, TCP_KEEPINTVL, keepalive_interval);
+    set_tcp_option(socket, TCP_KEEPCNT, keepalive_probes);
+    set_tcp_option(socket, TCP_USER_TIMEOUT, unacknowledged_ms);
+}
+
+member_connection::member_connection(net::any_io_executor executor,
+                                     const member_codec& codec, member_address address)
+    : socket_(executor), codec_(codec), address_(std::move(address))
+{
+}
+
+net::awaitable<result<std::unique_ptr<member_connection>>>
+member_connection::open(net::any_io_executor executor, const member_codec& codec,
+                        member_address address, time_point deadline, bool* is_stopped)
+{
+    std::unique_ptr<member_connection> connection(
+        new member_connection(executor, codec, std::move(address)));
+    connection->socket_.expires_at(deadline);
+    auto endpoint = connection->address_.endpoint;
+    auto [failed] =
+        co_await connection->socket_.socket().async_connect(endpoint, use_tuple);
+    if (is_stopped != nullptr) {
+        *is_stopped = failed == net::error::connection_refused;
+    }
+    if (failed) {
+        co_return fail(error_kind::unreachable, connection->address_.id.str() + " at " +
+                                                    to_string(endpoint) + ": " +
+                                                    failed.message());
+    }
+    set_statement_options(connection->socket_.socket());
+    auto started = co_await connection->start_session(deadline);
+    if (!started) {
+        co_return started.error();
+    }
+    co_return connection;
+}
+
+net::awaitable<result<void>> member_connection::start_session(time_point deadline)
+{
+    std::string hello;
+    codec_.encode_opening(hello, address_.service, address_.id);
+    auto sent = co_await send(std::move(hello), deadline);
+    if (!sent) {
+        co_return sent;
+    }
+    auto answer = co_await next_message();
+    if (!answer) {
+        co_return fail(error_kind::unreachable, answer.error().detail);
+    }
+    if (const auto* refused = std::get_if<answer_failure>(&answer.value())) {
+        co_return refused->why;
+    }
+    if (!std::holds_alternative<answer_end>(answer.value())) {
+        co_return fail(error_kind::unreachable, "an unexpected answer to the opening");
+    }
+    co_return success();
+}
+
+net::awaitable<result<void>> member_connection::send(std::string bytes,
+                                                     time_point deadline)
+{
+    socket_.expires_at(deadline);
+    auto [failed, count] =
+        co_await net::async_write(socket_.socket(), net::buffer(bytes), use_tuple);
+    if (failed) {
+        // Without a byte on its way nothing can have run.
+        auto kind = count == 0 ? error_kind::unreachable : error_kind::outcome_unknown;
+        co_return fail(kind, "sending to " + address_.id.str() + ": " + failed.message());
+    }
+    co_return success();
+}
+
+net::awaitable<result<member_message>> member_connection::next_message()
+{
+    while (true) {
+        auto rest = std::string_view(input_).substr(consumed_);
+        auto before = rest.size();
+        auto message = codec_.decode(rest);
+        if (!message) {
+            co_return message.error();
+        }
+        consumed_ += before - rest.size();
+        if (message.value()) {
+            co_return std::move(*message.value());
+        }
+        input_.erase(0, consumed_);
+        consumed_ = 0;
+        auto held = input_.size();
+        input_.resize(held + read_bytes);
+        auto [failed, count] = co_await socket_.socket().async_read_some(
+            net::buffer(input_.data() + held, read_bytes), use_tuple);
+        input_.resize(held + count);
+        if (failed) {
+            co_return fail(error_kind::outcome_unknown,
+                           address_.id.str() + ": " + failed.message());
+        }
+    }
+}
+
+net::awaitable<result<statement_answer>> member_connection::receive(time_point deadline)
+{
+    socket_.expires_at(deadline);
+    statement_answer answer;
+    bool complete = false;
+    std::size_t bytes = 0;
+    while (true) {
+        auto message = co_await next_message();
+        if (!message) {
+            co_return fail(error_kind::outcome_unknown, message.error().detail);
+        }
+        if (auto* row = std::get_if<answer_row>(&message.value())) {
+            bytes += row->text.size();
+            if (bytes > answer_limit) {
+                co_return fail(error_kind::outcome_unknown, "the answer is too large");
+            }
+            answer.rows.push_back(std::move(row->text));
+        } else if (auto* done = std::get_if<answer_complete>(&message.value())) {
+            answer.receipt = std::move(done->receipt);
+            complete = true;
+        } else if (auto* failed = std::get_if<answer_failure>(&message.value())) {
+            answer.failure = std::move(failed->why);
+        } else if (const auto* end = std::get_if<answer_end>(&message.value())) {
+            answer.phase = end->phase;
+            answer.log_position = end->log_position;
+            break;
+        }
+    }
+    if (!complete && !answer.failure) {
+        co_return fail(error_kind::outcome_unknown, "an answer without an outcome");
+    }
+    if (input_.size() == consumed_) {
+        input_.clear();
+        consumed_ = 0;
+    }
+    socket_.expires_never();
+    co_return answer;
+}
+
+bool member_connection::is_quiet()
+{
+    if (!socket_.socket().is_open() || consumed_ != input_.size()) {
+        return false;
+    }
+    char byte = 0;
+    auto count =
+        ::recv(socket_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace papayabridge
--- /dev/null
+++ b/src/libpapayabridge/session/member_pool.cpp
@@ -0,0 +1,308 @@
+#include "member_pool.hpp"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace papayabridge {
+
+namespace {
+
+// A new connection costs a slot's time and two round trips across regions.
+constexpr std::chrono::milliseconds open_timeout{400};
+// A member that could not be used is tried again after so long.
+constexpr std::chrono::milliseconds avoid_for{150};
+// A member that refused more connections is asked for one again after so long.
+constexpr std::chrono::milliseconds full_for{250};
+// A part of each member's connections is left to keepers and to entries that join.
+constexpr unsigned spare_connections = 2;
+
+} // namespace
+
+pooled_connection::pooled_connection(member_pool& pool,
+                                     std::unique_ptr<member_connection> connection)
+    : pool_(&pool), connection_(std::move(connection))
+{
+}
+
+pooled_connection::pooled_connection(pooled_connection&& other) noexcept
+    : pool_(other.pool_), connection_(std::move(other.connection_))
+{
+}
+
+pooled_connection& pooled_connection::operator=(pooled_connection&& other) noexcept
+{
+    drop();
+    pool_ = other.pool_;
+    connection_ = std::move(other.connection_);
+    return *this;
+}
+
+pooled_connection::~pooled_connection()
+{
+    drop();
+}
+
+void pooled_connection::give_back()
+{
+    if (connection_) {
+        pool_->returned(std::move(connection_));
+    }
+}
+
+void pooled_connection::drop()
+{
+    if (connection_) {
+        auto member = connection_->address().id;
+        connection_.reset();
+        pool_->dropped(member);
+    }
+}
+
+member_pool::member_pool(net::any_io_executor executor, const member_codec& codec)
+    : executor_(std::move(executor)), codec_(codec)
+{
+}
+
+member_pool::slot* member_pool::find(const member_id& member)
+{
+    auto found = slots_.find(member);
+    return found == slots_.end() ? nullptr : &found->second;
+}
+
+member_health& member_pool::health(const member_id& member)
+{
+    return slots_[member].health;
+}
+
+void member_pool::update(const std::shared_ptr<const pool_view>& view)
+{
+    std::set<member_id> present;
+    for (const auto& [name, service] : view->services) {
+        auto usable = service.limits.most_connections -
+                      std::min(service.limits.most_connections - 1, spare_connections);
+        auto share = std::max<std::size_t>(1, usable / view->entries);
+        for (const auto& member : service.members) {
+            present.insert(member.run.id);
+            auto& one = slots_[member.run.id];
+            if (one.run != member.run || one.address.endpoint != member.endpoint) {
+                one.open -= static_cast<unsigned>(one.idle.size());
+                one.idle.clear();
+                one.health = {};
+            }
+            one.run = member.run;
+            one.address = {
+                .endpoint = member.endpoint, .service = name, .id = member.run.id};
+            one.most = static_cast<unsigned>(share);
+            one.gone = false;
+        }
+    }
+    for (auto one = slots_.begin(); one != slots_.end();) {
+        if (present.count(one->first) != 0) {
+            ++one;
+            continue;
+        }
+        one->second.gone = true;
+        one->second.open -= static_cast<unsigned>(one->second.idle.size());
+        one->second.idle.clear();
+        one = one->second.open == 0 ? slots_.erase(one) : std::next(one);
+    }
+    wake_all();
+}
+
+void member_pool::wake_all()
+{
+    for (auto* one : waiters_) {
+        one->woken.cancel();
+    }
+}
+
+std::unique_ptr<member_connection> member_pool::take_idle(slot& from,
+                                                          const session_values& session)
+{
+    while (!from.idle.empty()) {
+        auto fitting =
+            std::find_if(from.idle.begin(), from.idle.end(),
+                         [&](const auto& one) { return fits(one->contents, session); });
+        // Else the one used last: its buffers are warm, and others may be closed.
+        auto chosen = fitting == from.idle.end() ? std::prev(from.idle.end()) : fitting;
+        auto connection = std::move(*chosen);
+        from.idle.erase(chosen);
+        if (connection->is_quiet()) {
+            return connection;
+        }
+        --from.open;
+    }
+    return nullptr;
+}
+
+net::awaitable<result<pooled_connection>> member_pool::open(member_id member,
+                                                            time_point deadline)
+{
+    auto* to = find(member);
+    ++to->open;
+    auto until = std::min(deadline, steady_clock::now() + open_timeout);
+    auto opened = co_await member_connection::open(executor_, codec_, to->address, until);
+    if (opened) {
+        note_success(member, false);
+        co_return pooled_connection(*this, std::move(opened.value()));
+    }
+    to = find(member);
+    if (to != nullptr && opened.error().kind == error_kind::overloaded) {
+        to->full_until = steady_clock::now() + full_for;
+    } else {
+        note_failure(member, false);
+    }
+    dropped(member);
+    co_return opened.error();
+}
+
+net::awaitable<result<pooled_connection>> member_pool::take(connection_request request)
+{
+    auto failure = fail(error_kind::overloaded, "no connection became free in time");
+    for (const auto& member : request.members) {
+        auto* one = find(member);
+        auto now = steady_clock::now();
+        if (one == nullptr || one->gone || now < one->health.avoid_until) {
+            failure = fail(error_kind::unreachable, member.str() + " is not usable");
+            continue;
+        }
+        auto idle = take_idle(*one, *request.session);
+        if (idle) {
+            co_return pooled_connection(*this, std::move(idle));
+        }
+        if (one->open >= one->most || now < one->full_until) {
+            failure = fail(error_kind::overloaded,
+                           "all connections to " + member.str() + " are in use");
+            continue;
+        }
+        // A statement that may wait only a little still opens for those after it.
+        auto opened = co_await open(member, now + open_timeout);
+        if (opened) {
+            co_return opened;
+        }
+        failure = opened.error();
+    }
+    if (steady_clock::now() < request.wait_until) {
+        auto granted = co_await wait(request);
+        if (granted) {
+            co_return pooled_connection(*this, std::move(granted));
+        }
+    }
+    co_return failure;
+}
+
+net::awaitable<std::unique_ptr<member_connection>>
+member_pool::wait(const connection_request& request)
+{
+    auto until = request.wait_until;
+    for (const auto& member : request.members) {
+        auto* one = find(member);
+        if (one != nullptr) {
+            auto again = std::max(one->health.avoid_until, one->full_until);
+            until = again > steady_clock::now() ? std::min(until, again) : until;
+        }
+    }
+    waiter self(executor_);
+    self.request = &request;
+    self.woken.expires_at(until);
+    auto place = waiters_.insert(waiters_.end(), &self);
+    co_await self.woken.async_wait(net::as_tuple(net::use_awaitable));
+    waiters_.erase(place);
+    co_return std::move(self.granted);
+}
+
+std::list<member_pool::waiter*>::iterator
+member_pool::best_waiter(const member_id& member)
+{
+    auto best = waiters_.end();
+    for (auto one = waiters_.begin(); one != waiters_.end(); ++one) {
+        const auto& wanted = (*one)->request->members;
+        bool wants = std::find(wanted.begin(), wanted.end(), member) != wanted.end();
+        bool free = !(*one)->granted;
+        if (wants && free &&
+            (best == waiters_.end() || (*one)->request->rank < (*best)->request->rank))
+        {
+            best = one;
+        }
+    }
+    return best;
+}
+
+void member_pool::returned(std::unique_ptr<member_connection> connection)
+{
+    const auto& member = connection->address().id;
+    auto* one = find(member);
+    bool usable = one != nullptr && !one->gone && one->open <= one->most &&
+                  one->address.endpoint == connection->address().endpoint;
+    if (!usable) {
+        auto id = member;
+        connection.reset();
+        dropped(id);
+        return;
+    }
+    auto next = best_waiter(member);
+    if (next == waiters_.end()) {
+        one->idle.push_back(std::move(connection));
+        return;
+    }
+    (*next)->granted = std::move(connection);
+    (*next)->woken.cancel();
+}
+
+void member_pool::dropped(const member_id& member)
+{
+    auto found = slots_.find(member);
+    if (found == slots_.end()) {
+        return;
+    }
+    auto& one = found->second;
+    one.open -= one.open > 0 ? 1 : 0;
+    if (one.gone && one.open == 0) {
+        slots_.erase(found);
+        return;
+    }
+    auto next = best_waiter(member);
+    if (next != waiters_.end()) {
+        (*next)->woken.cancel();
+    }
+}
+
+void member_pool::note_success(const member_id& member, bool wrote)
+{
+    auto* one = find(member);
+    if (one != nullptr) {
+        one->health.failing_since.reset();
+        one->health.avoid_until = {};
+        if (wrote) {
+            one->health.writes_failing_since.reset();
+        }
+    }
+}
+
+void member_pool::note_failure(const member_id& member, bool wrote)
+{
+    auto* one = find(member);
+    if (one == nullptr) {
+        return;
+    }
+    auto now = steady_clock::now();
+    auto& health = one->health;
+    health.last_failure = now;
+    health.failing_since = health.failing_since.value_or(now);
+    health.avoid_until = now + avoid_for;
+    if (wrote) {
+        health.writes_failing_since = health.writes_failing_since.value_or(now);
+    }
+}
+
+std::size_t member_pool::open_connections() const
+{
+    std::size_t count = 0;
+    for (const auto& [id, one] : slots_) {
+        count += one.open;
+    }
+    return count;
+}
+
+} // namespace papayabridge
--- /dev/null
+++ b/src/libpapayabridge/session/session_entry.cpp
@@ -0,0 +1,305 @@
+#include "session_entry.hpp"
+
+#include "net/metrics_page.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace papayabridge {
+
+namespace {
+
+constexpr auto use_tuple = net::as_tuple(net::use_awaitable);
+constexpr std::chrono::milliseconds watch_wait{1000};
+constexpr std::chrono::milliseconds watch_retry{60};
+constexpr std::chrono::milliseconds propose_timeout{2000};
+// While a primary cannot be used, the keepers hear of it so often.
+constexpr std::chrono::milliseconds trouble_period{150};
+// A failure that is not repeated for so long is no trouble any more.
+constexpr std::chrono::milliseconds trouble_validity{600};
+// Without descriptors no connection can be accepted until one is closed.
+constexpr std::chrono::milliseconds accept_pause{20};
+// The balancer asks once a second and takes an entry out after two misses.
+constexpr std::chrono::milliseconds unready_notice{2300};
+constexpr std::chrono::milliseconds wind_down_poll{20};
+// Left of the grace when the process ends by itself.
+constexpr std::chrono::milliseconds exit_margin{700};
+
+std::uint64_t new_incarnation()
+{
+    auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+} // namespace
+
+session_entry::session_entry(daemon_runtime& runtime, session_settings settings,
+                             session_protocols protocols)
+    : runtime_(runtime), settings_(std::move(settings)), protocols_(std::move(protocols)),
+      executor_(runtime.control().get_executor()),
+      clients_(std::make_shared<rpc_clients>(executor_, std::make_shared<link_table>(),
+                                             token_codec(settings_.fleet_key))),
+      keepers_(executor_, clients_, settings_.seeds),
+      pool_(executor_, protocols_.members),
+      services_{.executor = executor_,
+                .callers = protocols_.callers,
+                .members = protocols_.members,
+                .pool = pool_,
+                .view = std::make_shared<pool_view>(),
+                .refused = metrics::process().counter_of("statements_refused_total"),
+                .in_doubt = metrics::process().counter_of("statements_in_doubt_total"),
+                .answered = metrics::process().counter_of("statements_answered_total")},
+      acceptor_(runtime.control()), incarnation_(new_incarnation())
+{
+}
+
+session_entry::~session_entry() = default;
+
+net::awaitable<void> session_entry::pause(std::chrono::milliseconds time)
+{
+    net::steady_timer timer(executor_);
+    timer.expires_after(time);
+    co_await timer.async_wait(use_tuple);
+}
+
+result<void> session_entry::start()
+{
+    boost::system::error_code failed;
+    acceptor_.open(settings_.callers.protocol(), failed);
+    if (!failed) {
+        acceptor_.set_option(net::socket_base::reuse_address(true), failed);
+        acceptor_.bind(settings_.callers, failed);
+    }
+    if (!failed) {
+        acceptor_.listen(net::socket_base::max_listen_connections, failed);
+    }
+    if (failed) {
+        return fail(error_kind::unreachable, "cannot listen at " +
+                                                 to_string(settings_.callers) + ": " +
+                                                 failed.message());
+    }
+    if (settings_.metrics) {
+        metrics_ = make_metrics_page(runtime_.control(), *settings_.metrics);
+        auto started = metrics_->start();
+        if (!started) {
+            return started;
+        }
+    }
+    net::co_spawn(executor_, accept(), net::detached);
+    net::co_spawn(executor_, follow_keepers(), net::detached);
+    net::co_spawn(executor_, tell_troubles(), net::detached);
+    return success();
+}
+
+net::awaitable<void> session_entry::accept()
+{
+    while (acceptor_.is_open()) {
+        auto [failed, socket] = co_await acceptor_.async_accept(use_tuple);
+        if (failed == net::error::operation_aborted) {
+            co_return;
+        }
+        if (failed) {
+            log_change("accept_failed", {{"why", failed.message()}});
+            co_await pause(accept_pause);
+            continue;
+        }
+        auto session =
+            std::make_shared<caller_session>(std::move(socket), services_, sessions_);
+        session->start();
+    }
+}
+
+// --- Following the keepers ---
+
+bool session_entry::is_registered() const
+{
+    const auto* known = state_.entry(settings_.id);
+    return known != nullptr && known->incarnation == incarnation_ &&
+           known->condition == entry_condition::up;
+}
+
+net::awaitable<void> session_entry::register_self()
+{
+    command change = register_entry{.entry = {.id = settings_.id,
+                                              .incarnation = incarnation_,
+                                              .http = to_string(settings_.callers),
+                                              .domain = settings_.location.domain,
+                                              .region = settings_.location.region}};
+    auto outcome = co_await keepers_.propose(std::move(change),
+                                             steady_clock::now() + propose_timeout);
+    if (!outcome) {
+        log_change("registration_failed", {{"why", outcome.error().str()}});
+        co_await pause(watch_retry);
+    }
+    registering_ = false;
+}
+
+net::awaitable<void> session_entry::follow_keepers()
+{
+    entry_identity self{.id = settings_.id, .incarnation = incarnation_};
+    bool in_touch = false;
+    while (true) {
+        auto update = co_await keepers_.watch(state_.applied(), watch_wait, self);
+        if (update) {
+            take_update(std::move(update.value()));
+        } else {
+            co_await pause(watch_retry);
+        }
+        if (bool(update) != in_touch) {
+            in_touch = bool(update);
+            log_change(in_touch ? "keepers_reached" : "keepers_lost",
+                       {{"why", in_touch ? "" : update.error().str()}});
+        }
+        if (update && !is_registered() && !registering_ && !stopping_) {
+            registering_ = true;
+            net::co_spawn(executor_, register_self(), net::detached);
+        }
+    }
+}
+
+void session_entry::take_update(watch_update update)
+{
+    bool changed = update.snapshot.has_value() || !update.commands.empty();
+    if (update.snapshot) {
+        state_ = std::move(*update.snapshot);
+    }
+    for (const auto& one : update.commands) {
+        state_.apply(one.index, one.change);
+    }
+    if (changed) {
+        publish();
+    }
+}
+
+void session_entry::publish()
+{
+    const auto& published = state_.pool().configuration();
+    if (published.version > configuration_.version) {
+        auto decoded = protocols_.configuration(published.text);
+        if (decoded) {
+            configuration_ = std::move(decoded.value());
+            ready_ = true;
+            log_change("configuration_in_force",
+                       {{"version", std::to_string(published.version.value())},
+                        {"routes", std::to_string(configuration_.routes.size())}});
+        } else {
+            log_change("configuration_unreadable", {{"why", decoded.error().detail}});
+        }
+    }
+    auto view = std::make_shared<pool_view>(
+        make_view(state_, configuration_, settings_.location));
+    for (const auto& [name, service] : view->services) {
+        const auto* before = services_.view->service(name);
+        if (before == nullptr || before->primary_changes != service.primary_changes) {
+            log_change("primary_known",
+                       {{"service", name.str()},
+                        {"member", service.primary.str()},
+                        {"change", std::to_string(service.primary_changes)}});
+        }
+    }
+    services_.view = view;
+    pool_.update(services_.view);
+    use_keepers();
+}
+
+void session_entry::use_keepers()
+{
+    std::vector<std::pair<unsigned, tcp::endpoint>> places;
+    for (const auto& [id, place] : state_.pool().keepers()) {
+        auto endpoint = parse_endpoint(place.rpc);
+        if (endpoint) {
+            places.emplace_back(settings_.location.distance_to(place.domain), *endpoint);
+        }
+    }
+    std::sort(places.begin(), places.end());
+    std::vector<tcp::endpoint> keepers;
+    for (const auto& [distance, endpoint] : places) {
+        keepers.push_back(endpoint);
+    }
+    // All keepers that are known may be gone while this entry hears of none of it.
+    for (const auto& seed : settings_.seeds) {
+        if (std::find(keepers.begin(), keepers.end(), seed) == keepers.end()) {
+            keepers.push_back(seed);
+        }
+    }
+    keepers_.use(std::move(keepers));
+}
+
+// --- Troubles ---
+
+net::awaitable<void> session_entry::tell_troubles()
+{
+    while (true) {
+        auto now = steady_clock::now();
+        auto view = services_.view;
+        for (const auto& [name, service] : view->services) {
+            if (service.primary.empty()) {
+                continue;
+            }
+            auto health = pool_.health(service.primary);
+            auto since =
+                health.failing_since ? health.failing_since : health.writes_failing_since;
+            if (since && now - health.last_failure < trouble_validity) {
+                auto lasting =
+                    std::chrono::duration_cast<std::chrono::milliseconds>(now - *since);
+                member_trouble trouble{.entry = settings_.id,
+                                       .service = name,
+                                       .member = service.primary,
+                                       .lasting = lasting};
+                net::co_spawn(executor_, keepers_.tell_trouble(std::move(trouble)),
+                              net::detached);
+            }
+        }
+        co_await pause(trouble_period);
+    }
+}
+
+// --- Stopping ---
+
+void session_entry::reload(const session_settings& settings)
+{
+    settings_.seeds = settings.seeds;
+    use_keepers();
+    log_change("settings_reloaded", {{"seeds", std::to_string(settings.seeds.size())}});
+}
+
+void session_entry::stop()
+{
+    if (!stopping_) {
+        stopping_ = true;
+        log_change("process_stopping", {{"sessions", std::to_string(sessions_.size())}});
+        net::co_spawn(executor_, wind_down(), net::detached);
+    }
+}
+
+void session_entry::close_sessions(bool in_transactions, bool running)
+{
+    for (const auto& session : sessions_.all()) {
+        bool due = session->is_at_rest() || (in_transactions && !session->is_running());
+        if (due || running) {
+            session->close();
+        }
+    }
+}
+
+// Sessions come until the balancer has seen that this entry is not ready. Then those at
+// rest are closed, later those inside transactions; running statements are answered.
+net::awaitable<void> session_entry::wind_down()
+{
+    auto began = steady_clock::now();
+    auto transactions_until = began + settings_.stop_grace / 2;
+    auto end = began + settings_.stop_grace - exit_margin;
+    co_await pause(std::min(unready_notice, settings_.stop_grace / 2));
+    sessions_.closes_at_rest = true;
+    while (sessions_.size() > 0 && steady_clock::now() < end) {
+        close_sessions(steady_clock::now() >= transactions_until, false);
+        co_await pause(wind_down_poll);
+    }
+    log_change("process_stopped", {{"sessions", std::to_string(sessions_.size())}});
+    runtime_.stop();
+}
+
+} // namespace papayabridge
--- /dev/null
+++ b/src/libpapayabridge/session/session_settings.cpp
@@ -0,0 +1,40 @@
+#include "session_settings.hpp"
+
+namespace papayabridge {
+
+namespace {
+
+constexpr number_range grace_ms{1000, 600'000};
+constexpr std::size_t shortest_key = 16;
+
+} // namespace
+
+session_settings read_session_settings(settings_section& section)
+{
+    session_settings settings;
+    settings.id = entry_id(section.text("id"));
+    settings.location.domain = domain_name(section.text("domain"));
+    settings.location.region = region_name(section.text("region"));
+    auto regions = section.section("regions");
+    for (const auto& domain : regions.names()) {
+        settings.location.regions[domain_name(domain)] =
+            region_name(regions.text(domain.c_str()));
+    }
+    settings.callers = section.endpoint("callers");
+    if (section.has("metrics")) {
+        settings.metrics = section.endpoint("metrics");
+    }
+    settings.fleet_key = section.text("fleet_key");
+    if (!settings.fleet_key.empty() && settings.fleet_key.size() < shortest_key) {
+        section.refuse("fleet_key", "at least 16 characters");
+    }
+    settings.seeds = section.seeds();
+    if (settings.seeds.empty()) {
+        section.refuse("seeds", "at least one \"ADDRESS:PORT\"");
+    }
+    settings.stop_grace =
+        section.duration("stop_grace_ms", grace_ms, settings.stop_grace);
+    return settings;
+}
+
+} // namespace papayabridge
--- /dev/null
+++ b/src/libpapayabridge/session/statement_runner.cpp
@@ -0,0 +1,496 @@
+#include "statement_runner.hpp"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace papayabridge {
+
+namespace {
+
+// A part of the latency target is spent waiting for a connection; a caller that is told
+// sooner can still be served in time by another entry.
+constexpr int wait_part = 4;
+// Before a statement that a member refused is tried again at the same member.
+constexpr std::chrono::milliseconds retry_pause{10};
+// A replica that was behind is asked again after so long.
+constexpr std::chrono::milliseconds behind_for{60};
+// A rollback is answered at once by a member that is alive.
+constexpr std::chrono::milliseconds rollback_timeout{1000};
+
+// Errors that say that the member did not run the statement.
+bool did_not_run(error_kind kind)
+{
+    switch (kind) {
+    case error_kind::overloaded:
+    case error_kind::behind:
+    case error_kind::superseded:
+    case error_kind::unreachable:
+    case error_kind::not_found:
+        return true;
+    default:
+        return false;
+    }
+}
+
+// Reads the answers to the setup before that to a statement.
+net::awaitable<result<void>> finish_setup(pooled_connection& connection,
+                                          connection_setup& setup, time_point deadline)
+{
+    for (std::size_t step = 0; step < setup.steps(); ++step) {
+        auto answer = co_await connection->receive(deadline);
+        if (!answer) {
+            co_return answer.error();
+        }
+        if (answer.value().failure) {
+            co_return fail(error_kind::outcome_unknown,
+                           "setting up the connection: " +
+                               answer.value().failure->detail);
+        }
+    }
+    connection->contents = std::move(setup.after);
+    co_return success();
+}
+
+net::awaitable<void> roll_back(pooled_connection connection, const member_codec& codec,
+                               bool sent)
+{
+    auto deadline = steady_clock::now() + rollback_timeout;
+    if (!sent) {
+        std::string bytes;
+        codec.encode_rollback(bytes);
+        auto written = co_await connection->send(std::move(bytes), deadline);
+        if (!written) {
+            co_return;
+        }
+    }
+    auto answer = co_await connection->receive(deadline);
+    // A connection in any doubt is closed, which rolls back, too.
+    if (answer && answer.value().phase == session_phase::idle) {
+        connection.give_back();
+    }
+}
+
+std::string encode_setup(const member_codec& codec, const connection_setup& setup)
+{
+    std::string bytes;
+    if (setup.reset) {
+        codec.encode_reset(bytes);
+    }
+    for (const auto& [name, value] : setup.values) {
+        codec.encode_value(bytes, name, value);
+    }
+    if (setup.prepare) {
+        codec.encode_prepare(bytes, setup.prepared_name, *setup.prepare);
+    }
+    return bytes;
+}
+
+statement_answer failed_answer(error why, session_phase phase)
+{
+    statement_answer answer;
+    answer.failure = std::move(why);
+    answer.phase = phase;
+    return answer;
+}
+
+} // namespace
+
+void recycle(session_services& services, pooled_connection connection, bool sent)
+{
+    net::co_spawn(services.executor,
+                  roll_back(std::move(connection), services.members, sent),
+                  net::detached);
+}
+
+statement_runner::attempt statement_runner::begin(const statement& one,
+                                                  const pooled_route& route) const
+{
+    auto now = steady_clock::now();
+    attempt work{.one = one,
+                 .route = route,
+                 .deadline = now + route.statement_timeout,
+                 .wait_until = now + route.target / wait_part,
+                 .arrived = time_with_suspensions()};
+    work.writes = one.verb == statement_verb::write;
+    if (one.verb == statement_verb::execute) {
+        auto found = session_.values.prepared.find(one.name);
+        work.shape = found->second;
+        work.writes = found->second.writes;
+    }
+    work.wait_until = std::min(work.wait_until, work.deadline);
+    return work;
+}
+
+bool statement_runner::may_go_on(const attempt& work) const
+{
+    return steady_clock::now() < work.wait_until;
+}
+
+std::optional<position> statement_runner::needed_position(const attempt& work) const
+{
+    if (work.route.rule == read_rule::at_primary) {
+        return std::nullopt;
+    }
+    auto samples = services_.samples.find(work.route.service);
+    if (samples == services_.samples.end()) {
+        return std::nullopt;
+    }
+    auto needed = samples->second.needed(work.arrived, work.route.most_age);
+    if (needed && work.route.rule == read_rule::own_writes && session_.last_commit) {
+        needed = std::max(*needed, *session_.last_commit);
+    }
+    return needed;
+}
+
+statement_runner::placement statement_runner::place(const attempt& work,
+                                                    bool needs_primary) const
+{
+    placement where;
+    const auto* service = services_.view->service(work.route.service);
+    if (service == nullptr) {
+        return where;
+    }
+    if (!needs_primary) {
+        where.at_least = needed_position(work);
+    }
+    if (!where.at_least) {
+        if (!service->primary.empty()) {
+            where.members.push_back(service->primary);
+        }
+        return where;
+    }
+    // Members that leave, were behind or failed come after the others; nearest first.
+    auto now = steady_clock::now();
+    std::vector<std::pair<int, member_id>> ordered;
+    for (const auto& member : service->members) {
+        const auto& health = services_.pool.health(member.run.id);
+        int penalty = (member.leaving ? 8 : 0) + (now < health.behind_until ? 4 : 0) +
+                      (work.failed_at.count(member.run.id) != 0 ? 16 : 0);
+        ordered.emplace_back(penalty, member.run.id);
+    }
+    std::stable_sort(ordered.begin(), ordered.end(),
+                     [](const auto& a, const auto& b) { return a.first < b.first; });
+    for (auto& [penalty, member] : ordered) {
+        where.members.push_back(std::move(member));
+    }
+    return where;
+}
+
+net::awaitable<pooled_connection> statement_runner::take(attempt& work,
+                                                         const placement& where)
+{
+    connection_request request{.service = work.route.service,
+                               .members = where.members,
+                               .session = &session_.values,
+                               .rank = work.route.rank,
+                               .wait_until = work.wait_until};
+    auto taken = co_await services_.pool.take(std::move(request));
+    if (!taken) {
+        if (!where.members.empty()) {
+            work.last_problem = taken.error();
+        }
+        co_return pooled_connection();
+    }
+    co_return std::move(taken.value());
+}
+
+net::awaitable<void> statement_runner::rest(attempt& work)
+{
+    net::steady_timer timer(services_.executor);
+    timer.expires_at(std::min(steady_clock::now() + retry_pause, work.wait_until));
+    co_await timer.async_wait(net::as_tuple(net::use_awaitable));
+}
+
+void statement_runner::note_problem(attempt& work, const member_id& member,
+                                    const error& problem)
+{
+    auto now = steady_clock::now();
+    work.last_problem = problem;
+    work.failed_at.insert(member);
+    if (problem.kind == error_kind::behind) {
+        services_.pool.health(member).behind_until = now + behind_for;
+    }
+    if (!did_not_run(problem.kind)) {
+        // It was offered to a member, so it is worth another one's time.
+        auto longer = now + work.route.target / wait_part;
+        work.wait_until = std::min(std::max(work.wait_until, longer), work.deadline);
+    }
+}
+
+void statement_runner::sample(const attempt& work, position_samples::time sent,
+                              const statement_answer& answer)
+{
+    if (answer.log_position) {
+        services_.samples[work.route.service].add(sent, *answer.log_position);
+    }
+}
+
+statement_answer statement_runner::refused(attempt& work) const
+{
+    services_.refused.add();
+    return failed_answer(work.last_problem, session_phase::idle);
+}
+
+// Sends the setup and \p bytes together, and reads the answer to the last statement.
+net::awaitable<result<statement_answer>>
+statement_runner::exchange(attempt& work, pooled_connection& connection,
+                           connection_setup setup, std::string bytes)
+{
+    auto sent = co_await connection->send(
+        encode_setup(services_.members, setup) + std::move(bytes), work.deadline);
+    if (!sent) {
+        co_return sent.error();
+    }
+    auto ready = co_await finish_setup(connection, setup, work.deadline);
+    if (!ready) {
+        co_return ready.error();
+    }
+    auto answer = co_await connection->receive(work.deadline);
+    if (!answer && steady_clock::now() >= work.deadline) {
+        services_.pool.note_failure(connection.member(), work.writes);
+    } else if (answer) {
+        services_.pool.note_success(connection.member(), work.writes);
+    }
+    co_return answer;
+}
+
+net::awaitable<statement_answer> statement_runner::run_single(const statement& one,
+                                                              const pooled_route& route)
+{
+    auto work = begin(one, route);
+    do {
+        std::optional<statement_answer> answer;
+        if (work.writes) {
+            answer = co_await try_write(work);
+        } else {
+            answer = co_await try_read(work);
+        }
+        if (answer) {
+            services_.answered.add();
+            co_return std::move(*answer);
+        }
+    } while (may_go_on(work));
+    co_return refused(work);
+}
+
+net::awaitable<std::optional<statement_answer>> statement_runner::try_write(attempt& work)
+{
+    auto connection = co_await take(work, place(work, true));
+    if (!connection) {
+        co_return std::nullopt;
+    }
+    auto member = connection.member();
+    auto setup = plan_setup(connection->contents, session_.values, work.shape);
+    std::string bytes;
+    services_.members.encode_statement(bytes, work.one, setup.prepared_name, {});
+    auto sent = time_with_suspensions();
+    auto answer = co_await exchange(work, connection, std::move(setup), std::move(bytes));
+    if (!answer) {
+        if (answer.error().kind == error_kind::unreachable) {
+            note_problem(work, member, answer.error());
+            co_return std::nullopt;
+        }
+        services_.in_doubt.add();
+        co_return failed_answer(fail(error_kind::outcome_unknown, answer.error().detail),
+                                session_phase::idle);
+    }
+    if (answer.value().phase == session_phase::idle) {
+        connection.give_back();
+    }
+    auto& failure = answer.value().failure;
+    if (failure && did_not_run(failure->kind)) {
+        note_problem(work, member, *failure);
+        co_await rest(work);
+        co_return std::nullopt;
+    }
+    if (!failure) {
+        sample(work, sent, answer.value());
+        session_.last_commit =
+            std::max(session_.last_commit, answer.value().log_position);
+    }
+    answer.value().phase = session_phase::idle;
+    co_return std::move(answer.value());
+}
+
+// A begin that may write succeeds only at the primary, and what follows in its
+// transaction is refused once the member has lost the lead.
+net::awaitable<result<statement_answer>>
+statement_runner::prove_primary(attempt& work, pooled_connection& connection)
+{
+    auto setup = plan_setup(connection->contents, session_.values, work.shape);
+    std::string bytes;
+    services_.members.encode_begin(bytes, false, {});
+    auto begun = co_await exchange(work, connection, std::move(setup), std::move(bytes));
+    if (begun && begun.value().failure) {
+        auto problem = *begun.value().failure;
+        if (begun.value().phase == session_phase::idle) {
+            connection.give_back();
+        }
+        co_return problem;
+    }
+    co_return begun;
+}
+
+net::awaitable<std::optional<statement_answer>> statement_runner::try_read(attempt& work)
+{
+    auto where = place(work, false);
+    auto connection = co_await take(work, where);
+    if (!connection) {
+        co_return std::nullopt;
+    }
+    auto member = connection.member();
+    bool in_transaction = !where.at_least;
+    if (in_transaction) {
+        auto begun = co_await prove_primary(work, connection);
+        if (!begun) {
+            note_problem(work, member, begun.error());
+            co_await rest(work);
+            co_return std::nullopt;
+        }
+    }
+    auto setup = plan_setup(connection->contents, session_.values, work.shape);
+    std::string bytes;
+    services_.members.encode_statement(bytes, work.one, setup.prepared_name,
+                                       where.at_least);
+    if (in_transaction) {
+        services_.members.encode_rollback(bytes);
+    }
+    auto sent = time_with_suspensions();
+    auto answer = co_await exchange(work, connection, std::move(setup), std::move(bytes));
+    if (!answer) {
+        // A read may run twice.
+        note_problem(work, member, answer.error());
+        co_return std::nullopt;
+    }
+    auto& failure = answer.value().failure;
+    if (in_transaction) {
+        if (!failure) {
+            sample(work, sent, answer.value());
+        }
+        recycle(services_, std::move(connection), true);
+    } else if (answer.value().phase == session_phase::idle) {
+        connection.give_back();
+    }
+    if (failure && failure->kind != error_kind::bad_request) {
+        note_problem(work, member, *failure);
+        co_await rest(work);
+        co_return std::nullopt;
+    }
+    answer.value().phase = session_phase::idle;
+    co_return std::move(answer.value());
+}
+
+// Opens the transaction at a member with the first statement that needs one.
+net::awaitable<bool> statement_runner::bind(attempt& work,
+                                            session_transaction& transaction)
+{
+    auto where = place(work, !transaction.read_only);
+    auto connection = co_await take(work, where);
+    if (!connection) {
+        co_return false;
+    }
+    auto member = connection.member();
+    auto setup = plan_setup(connection->contents, session_.values, work.shape);
+    std::string bytes;
+    bool at_primary = !where.at_least;
+    services_.members.encode_begin(bytes, !at_primary, where.at_least);
+    auto begun = co_await exchange(work, connection, std::move(setup), std::move(bytes));
+    if (!begun) {
+        note_problem(work, member, begun.error());
+        co_return false;
+    }
+    if (begun.value().failure) {
+        note_problem(work, member, *begun.value().failure);
+        if (begun.value().phase == session_phase::idle) {
+            connection.give_back();
+        }
+        co_await rest(work);
+        co_return false;
+    }
+    transaction.connection = std::move(connection);
+    transaction.at_primary = at_primary;
+    co_return true;
+}
+
+net::awaitable<statement_answer>
+statement_runner::run_within(const statement& one, session_transaction& transaction)
+{
+    auto work = begin(one, transaction.route);
+    while (!transaction.connection) {
+        bool bound = co_await bind(work, transaction);
+        if (!bound && !may_go_on(work)) {
+            services_.refused.add();
+            transaction.failed = true;
+            co_return failed_answer(work.last_problem, session_phase::failed);
+        }
+    }
+    while (true) {
+        auto setup =
+            plan_setup(transaction.connection->contents, session_.values, work.shape);
+        std::string bytes;
+        services_.members.encode_statement(bytes, one, setup.prepared_name, {});
+        auto sent = time_with_suspensions();
+        auto answer = co_await exchange(work, transaction.connection, std::move(setup),
+                                        std::move(bytes));
+        bool busy = answer && answer.value().failure &&
+                    answer.value().failure->kind == error_kind::overloaded &&
+                    answer.value().phase == session_phase::in_transaction;
+        if (busy && may_go_on(work)) {
+            co_await rest(work);
+            continue;
+        }
+        if (answer && !answer.value().failure) {
+            transaction.wrote = transaction.wrote || work.writes;
+            if (transaction.at_primary) {
+                sample(work, sent, answer.value());
+            }
+        }
+        co_return co_await end_within(work, transaction, std::move(answer));
+    }
+}
+
+net::awaitable<statement_answer>
+statement_runner::end_within(attempt& work, session_transaction& transaction,
+                             result<statement_answer> answer)
+{
+    bool commits = work.one.verb == statement_verb::commit;
+    if (!answer) {
+        transaction.connection.drop();
+        transaction.failed = true;
+        if (commits && transaction.wrote) {
+            services_.in_doubt.add();
+            co_return failed_answer(
+                fail(error_kind::outcome_unknown, answer.error().detail),
+                session_phase::idle);
+        }
+        // Closing the connection rolled it back, and nobody asked for a commit.
+        auto lost = fail(error_kind::transaction_lost, answer.error().detail);
+        co_return failed_answer(std::move(lost),
+                                commits ? session_phase::idle : session_phase::failed);
+    }
+    auto& value = answer.value();
+    services_.answered.add();
+    if (commits) {
+        if (!value.failure && transaction.wrote) {
+            session_.last_commit = std::max(session_.last_commit, value.log_position);
+        }
+        if (value.phase == session_phase::idle) {
+            transaction.connection.give_back();
+        } else {
+            recycle(services_, std::move(transaction.connection), false);
+        }
+        value.phase = session_phase::idle;
+        co_return std::move(value);
+    }
+    if (value.phase != session_phase::in_transaction) {
+        transaction.failed = true;
+        value.phase = session_phase::failed;
+        recycle(services_, std::move(transaction.connection), false);
+    }
+    co_return std::move(value);
+}
+
+} // namespace papayabridge
--- /dev/null
+++ b/src/libpapayabridge/session/statement_runner.hpp
@@ -0,0 +1,130 @@
+/// \file statement_runner.hpp
+/// Runs one session's statements at members: chooses the member, brings the connection
+/// to the session's state, sends again what is known not to have run.
+
+#pragma once
+
+#include "core/position_samples.hpp"
+#include "member_pool.hpp"
+
+#include <papayabridge/metrics.hpp>
+
+namespace papayabridge {
+
+/// What all sessions of an entry share. Single thread.
+struct session_services
+{
+    net::any_io_executor executor;
+    const caller_codec& callers;
+    const member_codec& members;
+    member_pool& pool;
+    std::shared_ptr<const pool_view> view;
+    /// Positions of each service's primary.
+    std::map<service_name, position_samples> samples;
+    /// Statements refused without being sent, and those with an unknown outcome.
+    counter& refused;
+    counter& in_doubt;
+    counter& answered;
+};
+
+/// A session's state between statements.
+struct session_state
+{
+    session_values values;
+    /// Position of its last acknowledged commit.
+    std::optional<position> last_commit;
+};
+
+/// An open transaction.
+struct session_transaction
+{
+    pooled_route route;
+    bool read_only = false;
+    /// Set once a statement was sent: until then the transaction is at no member.
+    pooled_connection connection;
+    bool wrote = false;
+    /// Whether its member proved to be the primary at its begin.
+    bool at_primary = false;
+    /// It failed, and waits to be ended.
+    bool failed = false;
+    /// Why it failed, if that was not an answer to a statement.
+    std::optional<error> lost;
+};
+
+/// Runs statements; one at a time for each session.
+class statement_runner
+{
+public:
+    statement_runner(session_services& services, session_state& session)
+        : services_(services), session_(session)
+    {
+    }
+
+    /// Runs a read or write outside any transaction.
+    net::awaitable<statement_answer> run_single(const statement& one,
+                                                const pooled_route& route);
+    /// Runs a read, write or commit of \p transaction. Its phase says whether the
+    /// transaction goes on.
+    net::awaitable<statement_answer> run_within(const statement& one,
+                                                session_transaction& transaction);
+
+private:
+    /// One statement on its way to an answer.
+    struct attempt
+    {
+        const statement& one;
+        const pooled_route& route;
+        bool writes = false;
+        /// What must be prepared at the member.
+        std::optional<prepared_shape> shape;
+        time_point deadline;
+        /// Until then it may wait for a connection.
+        time_point wait_until;
+        /// When it arrived, suspensions included.
+        position_samples::time arrived;
+        /// Members that failed this statement, tried again only after all others.
+        std::set<member_id> failed_at;
+        error last_problem{error_kind::no_primary, "no member can serve it"};
+    };
+    /// Where a read may run.
+    struct placement
+    {
+        std::vector<member_id> members;
+        /// The position that the member's log must hold; without one only the proven
+        /// primary may run it.
+        std::optional<position> at_least;
+    };
+
+    attempt begin(const statement& one, const pooled_route& route) const;
+    bool may_go_on(const attempt& work) const;
+    placement place(const attempt& work, bool needs_primary) const;
+    std::optional<position> needed_position(const attempt& work) const;
+    net::awaitable<pooled_connection> take(attempt& work, const placement& where);
+    net::awaitable<void> rest(attempt& work);
+
+    net::awaitable<std::optional<statement_answer>> try_write(attempt& work);
+    net::awaitable<std::optional<statement_answer>> try_read(attempt& work);
+    net::awaitable<bool> bind(attempt& work, session_transaction& transaction);
+    net::awaitable<result<statement_answer>> prove_primary(attempt& work,
+                                                           pooled_connection& connection);
+    net::awaitable<result<statement_answer>> exchange(attempt& work,
+                                                      pooled_connection& connection,
+                                                      connection_setup setup,
+                                                      std::string bytes);
+    net::awaitable<statement_answer> end_within(attempt& work,
+                                                session_transaction& transaction,
+                                                result<statement_answer> answer);
+    statement_answer refused(attempt& work) const;
+    void note_problem(attempt& work, const member_id& member, const error& problem);
+    void sample(const attempt& work, position_samples::time sent,
+                const statement_answer& answer);
+
+    session_services& services_;
+    session_state& session_;
+};
+
+/// Ends the transaction on \p connection in the background and gives it back. \p sent
+/// tells that the rollback was sent already.
+void recycle(session_services& services, pooled_connection connection, bool sent);
+
+} // namespace papayabridge
--- a/src/libpapayabridge/store/settings.cpp
+++ b/src/libpapayabridge/store/settings.cpp
@@ -296,6 +296,18 @@
     return sections;
 }
 
+std::vector<boost::asio::ip::tcp::endpoint> settings_section::seeds()
+{
+    auto places = endpoints("seeds");
+    if (has("keeper_port")) {
+        auto port = static_cast<std::uint16_t>(number("keeper_port", {1, 65535}));
+        for (auto& place : places) {
+            place.port(port);
+        }
+    }
+    return places;
+}
+
 std::vector<boost::asio::ip::tcp::endpoint> settings_section::endpoints(const char* name)
 {
     std::vector<boost::asio::ip::tcp::endpoint> all;
--- a/src/libpapayabridge/tools/daemon.cpp
+++ b/src/libpapayabridge/tools/daemon.cpp
@@ -47,6 +47,13 @@
     }
 }
 
+void end_process(exit_code code)
+{
+    std::cout.flush();
+    std::cerr.flush();
+    std::_Exit(static_cast<int>(code));
+}
+
 daemon_runtime::daemon_runtime(std::size_t traffic_threads)
 {
     for (std::size_t i = 0; i < traffic_threads; ++i) {
@@ -65,9 +72,22 @@
     return contexts;
 }
 
-void daemon_runtime::run(std::function<void()> on_signal)
+void daemon_runtime::run(std::function<void()> on_signal, std::function<void()> on_reload)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    net::signal_set hangups(control_, SIGHUP);
+    std::function<void(boost::system::error_code, int)> hung_up;
+    hung_up = [&](boost::system::error_code failed, int) {
+        if (failed) {
+            return;
+        }
+        hangups.async_wait(hung_up);
+        log_change("hangup", {{"reloads", on_reload ? "true" : "false"}});
+        if (on_reload) {
+            on_reload();
+        }
+    };
+    hangups.async_wait(hung_up);
     net::signal_set signals(control_, SIGTERM, SIGINT);
     std::function<void(boost::system::error_code, int)> first;
     bool asked = false;
--- a/src/papayabridged/main.cpp
+++ b/src/papayabridged/main.cpp
@@ -1,15 +1,28 @@
 // papayabridged: an entry of the fleet.
 
 #include "entry/entry_process.hpp"
+#include "session/session_entry.hpp"
+#include "tools/reload_watch.hpp"
 
 #include <iostream>
+#include <platform/documents.hpp>
+#include <platform/platform_settings.hpp>
+#include <platform/ready_server.hpp>
+#include <platform/text_wire.hpp>
 
-int main(int argc, char** argv)
+namespace papayabridge {
+
+namespace {
+
+exit_code fail_start(const error& why)
+{
+    std::cerr << "papayabridged: " << why.detail << "\n";
+    return exit_code::cannot_start;
+}
+
+// An entry that callers reach over HTTP.
+exit_code run_http(const daemon_options& options, settings_document document)
 {
-    using namespace papayabridge;
-    auto options = parse_daemon_options(
-        argc, argv, "papayabridged: takes callers' statements to the databases");
-    auto document = settings_document::open(options.settings_file);
     auto settings = read_entry_settings(document);
     finish_settings(options, document);
     start_log(settings.id.str());
@@ -17,10 +30,75 @@
     entry_process entry(runtime, settings);
     auto started = entry.start();
     if (!started) {
-        std::cerr << "papayabridged: " << started.error().detail << "\n";
-        return static_cast<int>(exit_code::cannot_start);
+        return fail_start(started.error());
     }
     log_change("started", {{"http", to_string(settings.http)}});
     runtime.run([&entry] { entry.drain(); });
-    return static_cast<int>(exit_code::success);
+    return exit_code::success;
+}
+
+struct session_document
+{
+    session_settings entry;
+    platform::entry_platform platform;
+};
+
+session_document read_session_document(settings_document& document)
+{
+    settings_section root(document);
+    session_document settings{
+        .entry = read_session_settings(root),
+        .platform = platform::read_entry_platform(root.section("platform"))};
+    root.finish();
+    return settings;
+}
+
+// An entry of the platform: sessions on long connections.
+exit_code run_sessions(const daemon_options& options, settings_document document)
+{
+    auto settings = read_session_document(document);
+    finish_settings(options, document);
+    start_log(settings.entry.id.str());
+    daemon_runtime runtime(0);
+    platform::text_caller_codec callers;
+    platform::text_member_codec members;
+    session_entry entry(runtime, settings.entry,
+                        {.callers = callers,
+                         .members = members,
+                         .configuration = platform::decode_configuration});
+    platform::ready_server ready(runtime.control(), settings.platform.ready,
+                                 [&entry] { return entry.is_ready(); });
+    auto started = entry.start();
+    if (started) {
+        started = ready.start();
+    }
+    if (!started) {
+        return fail_start(started.error());
+    }
+    log_change("process_started", {{"callers", to_string(settings.entry.callers)}});
+    reload_watch watch(runtime.control().get_executor(), options.settings_file,
+                       [&entry](settings_document& changed) {
+                           auto settings = read_session_document(changed);
+                           if (changed.problems().empty()) {
+                               entry.reload(settings.entry);
+                           }
+                       });
+    watch.start();
+    runtime.run([&entry] { entry.stop(); }, [&watch] { watch.reload(); });
+    end_process(exit_code::success);
+}
+
+} // namespace
+
+} // namespace papayabridge
+
+int main(int argc, char** argv)
+{
+    using namespace papayabridge;
+    auto options = parse_daemon_options(
+        argc, argv, "papayabridged: takes callers' statements to the databases");
+    auto document = settings_document::open(options.settings_file);
+    bool on_platform = document.root().isMember("platform");
+    return static_cast<int>(on_platform ? run_sessions(options, std::move(document))
+                                        : run_http(options, std::move(document)));
 }
--- /dev/null
+++ b/src/papayakeeper/keeper_control.cpp
@@ -0,0 +1,89 @@
+#include "keeper_control.hpp"
+
+#include <papayabridge/daemon.hpp>
+
+namespace papayabridge {
+
+namespace {
+
+// Callers turn to another keeper after a second without an answer.
+constexpr std::chrono::milliseconds answer_within{850};
+
+} // namespace
+
+net::awaitable<result<void>> keeper_control::propose(command change)
+{
+    auto deadline = steady_clock::now() + answer_within;
+    auto accepted = co_await replicated_.propose(std::move(change), deadline, false);
+    if (!accepted) {
+        co_return accepted.error();
+    }
+    if (!accepted.value().outcome.accepted) {
+        co_return accepted.value().outcome.problem;
+    }
+    co_return success();
+}
+
+net::awaitable<result<void>>
+keeper_control::publish(published_configuration configuration)
+{
+    auto version = std::to_string(configuration.version.value());
+    command change = publish_configuration{.configuration = std::move(configuration)};
+    auto published = co_await propose(std::move(change));
+    log_change("configuration_sent",
+               {{"version", version},
+                {"outcome", published ? "durable" : published.error().str()}});
+    co_return published;
+}
+
+net::awaitable<result<published_configuration>> keeper_control::newest()
+{
+    auto confirmed =
+        co_await replicated_.confirm_newest(steady_clock::now() + answer_within);
+    if (!confirmed) {
+        co_return confirmed.error();
+    }
+    co_return replicated_.applied().state().pool().configuration();
+}
+
+// What says nothing new changes nothing, and costs the fleet nothing.
+net::awaitable<result<void>> keeper_control::announce(pooled_member member)
+{
+    if (!replicated_.applied().state().pool().is_news(member)) {
+        co_return success();
+    }
+    log_change("member_reported",
+               {{"member", member.run.id.str()},
+                {"service", member.service.str()},
+                {"endpoint", member.endpoint},
+                {"leaving", member.leaving ? "true" : "false"},
+                {"claims_primary", member.claims_primary ? "true" : "false"},
+                {"sequence", std::to_string(member.sequence)}});
+    command change = report_member{.member = std::move(member)};
+    auto reported = co_await propose(std::move(change));
+    co_return reported;
+}
+
+net::awaitable<result<void>> keeper_control::withdraw(member_id id)
+{
+    const auto* known = replicated_.applied().state().pool().member(id);
+    if (known == nullptr) {
+        // This keeper may be behind.
+        auto confirmed =
+            co_await replicated_.confirm_newest(steady_clock::now() + answer_within);
+        if (!confirmed) {
+            co_return confirmed.error();
+        }
+        known = replicated_.applied().state().pool().member(id);
+    }
+    if (known == nullptr) {
+        co_return success();
+    }
+    auto run = known->run;
+    log_change("member_withdrawn", {{"member", id.str()}});
+    command change = remove_member{.run = run};
+    auto removed = co_await propose(std::move(change));
+    co_return removed;
+}
+
+} // namespace papayabridge
--- a/src/papayakeeper/keeper_service.cpp
+++ b/src/papayakeeper/keeper_service.cpp
@@ -42,7 +42,7 @@
         const char* name;
         member serve;
     };
-    static constexpr std::array<row, 7> methods{{
+    static constexpr std::array<row, 8> methods{{
         {"keeper.propose", &keeper_service::propose},
         {"keeper.watch", &keeper_service::watch},
         {"keeper.status", &keeper_service::status},
@@ -50,6 +50,7 @@
         {"consensus.genesis", &keeper_service::genesis},
         {"process.events", &keeper_service::list_events},
         {"process.fault", &keeper_service::cut_links},
+        {"keeper.trouble", &keeper_service::hear_trouble},
     }};
     for (const auto& method : methods) {
         server.method(method.name, [this, serve = method.serve](rpc_message request) {
@@ -132,6 +133,18 @@
     co_return answer;
 }
 
+net::awaitable<result<rpc_message>> keeper_service::hear_trouble(rpc_message request)
+{
+    if (duty_ != nullptr) {
+        duty_->hear(trouble_from(request.body));
+    }
+    if (!flag_of(request.body, "forwarded")) {
+        co_await replicated_.tell_leader("keeper.trouble", std::move(request));
+    }
+    rpc_message answer;
+    co_return answer;
+}
+
 net::awaitable<result<rpc_message>> keeper_service::cut_links(rpc_message request)
 {
     if (!settings_.test_faults) {
--- a/src/papayakeeper/keeper_service.hpp
+++ b/src/papayakeeper/keeper_service.hpp
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "promotion_duty.hpp"
 #include "replicator.hpp"
 
 #include <papayabridge/rpc.hpp>
@@ -16,6 +17,8 @@
     keeper_service(const keeper_settings& settings, replicator& replicated,
                    event_log& events);
 
+    /// Entries' complaints go to \p duty.
+    void tell_troubles_to(promotion_duty& duty) { duty_ = &duty; }
     /// Adds the methods to \p server.
     void add_to(rpc_server& server);
 
@@ -27,10 +30,12 @@
     net::awaitable<result<rpc_message>> genesis(rpc_message request);
     net::awaitable<result<rpc_message>> list_events(rpc_message request);
     net::awaitable<result<rpc_message>> cut_links(rpc_message request);
+    net::awaitable<result<rpc_message>> hear_trouble(rpc_message request);
 
     const keeper_settings& settings_;
     replicator& replicated_;
     event_log& events_;
+    promotion_duty* duty_ = nullptr;
 };
 
 } // namespace papayabridge
--- a/src/papayakeeper/keeper_settings.cpp
+++ b/src/papayakeeper/keeper_settings.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr number_range timing_ms{10, 600'000};
+constexpr number_range disk_counts{0, 20};
 constexpr number_range snapshot_entries{10, 1'000'000};
 
 void check_peers(settings_section& section, const keeper_settings& settings)
@@ -32,9 +33,8 @@
 
 } // namespace
 
-keeper_settings read_keeper_settings(settings_document& document)
+keeper_settings read_keeper_settings(settings_section& section)
 {
-    settings_section section(document);
     keeper_settings settings;
     settings.id = keeper_id(section.text("id"));
     settings.domain = domain_name(section.text("domain"));
@@ -49,7 +49,18 @@
         item.finish();
         settings.peers.push_back(std::move(peer));
     }
-    check_peers(section, settings);
+    settings.seeds = section.seeds();
+    settings.is_first_start = section.flag("first_start", false);
+    if (section.has("disks_that_may_be_lost")) {
+        // A majority must remain.
+        settings.voters = 2 * section.number("disks_that_may_be_lost", disk_counts) + 1;
+    }
+    if (section.has("metrics")) {
+        settings.metrics = section.endpoint("metrics");
+    }
+    if (settings.seeds.empty()) {
+        check_peers(section, settings);
+    }
     settings.links = link_table::read(section);
     settings.test_faults = section.flag("test_faults", false);
     settings.election_timeout =
@@ -64,7 +75,6 @@
     if (settings.heartbeat * 2 > settings.election_timeout) {
         section.refuse("heartbeat_ms", "at most half of election_timeout_ms");
     }
-    section.finish();
     return settings;
 }
 
--- a/src/papayakeeper/keeper_settings.hpp
+++ b/src/papayakeeper/keeper_settings.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <papayabridge/ids.hpp>
 #include <papayabridge/links.hpp>
 #include <papayabridge/settings.hpp>
@@ -30,9 +31,18 @@
     /// Folder of the files that must survive.
     std::string data;
     std::string fleet_key;
-    /// All keepers, itself included.
+    /// All keepers, itself included; empty if they find each other by their seeds.
     std::vector<keeper_address> peers;
+    /// Where keepers may be found.
+    std::vector<tcp::endpoint> seeds;
+    /// Whether the fleet starts for the first time. Only then do the seeds become the
+    /// first voters.
+    bool is_first_start = false;
+    /// How many keepers vote, where they find each other; 0 for all.
+    std::size_t voters = 0;
     std::shared_ptr<link_table> links;
+    /// Where metrics are served; nothing if they are not.
+    std::optional<tcp::endpoint> metrics;
     bool test_faults = false;
     std::chrono::milliseconds election_timeout{400};
     std::chrono::milliseconds heartbeat{80};
@@ -42,7 +52,7 @@
     std::uint64_t snapshot_every = 1000;
 };
 
-/// Reads the settings; problems are left in \p document.
-keeper_settings read_keeper_settings(settings_document& document);
+/// Reads the settings; members of other sections are left to their readers.
+keeper_settings read_keeper_settings(settings_section& section);
 
 } // namespace papayabridge
--- a/src/papayakeeper/main.cpp
+++ b/src/papayakeeper/main.cpp
@@ -1,12 +1,20 @@
 // papayakeeper: one of the processes that replicate the control state.
 
+#include "keeper_control.hpp"
 #include "keeper_service.hpp"
+#include "net/metrics_page.hpp"
+#include "tools/reload_watch.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <filesystem>
 #include <iostream>
 #include <papayabridge/daemon.hpp>
+#include <platform/control_server.hpp>
+#include <platform/documents.hpp>
+#include <platform/platform_settings.hpp>
+#include <platform/promotion_client.hpp>
+#include <platform/text_wire.hpp>
 
 namespace papayabridge {
 
@@ -23,10 +31,62 @@
     runtime.stop();
 }
 
+struct keeper_document
+{
+    keeper_settings keeper;
+    std::optional<platform::keeper_platform> platform;
+};
+
+keeper_document read_keeper_document(settings_document& document)
+{
+    settings_section root(document);
+    keeper_document settings{.keeper = read_keeper_settings(root)};
+    if (root.has("platform")) {
+        settings.platform = platform::read_keeper_platform(root.section("platform"));
+    }
+    root.finish();
+    return settings;
+}
+
+// What a keeper does on the platform besides keeping the state.
+class platform_side
+{
+public:
+    platform_side(daemon_runtime& runtime, const keeper_settings& settings,
+                  const platform::keeper_platform& places, replicator& replicated,
+                  keeper_service& service)
+        : promotions_(settings.links, places.promotions), control_(replicated),
+          duty_(runtime.control().get_executor(), replicated, members_, promotions_,
+                platform::decode_configuration, settings.id.str()),
+          server_(runtime.control(), places.control, control_)
+    {
+        service.tell_troubles_to(duty_);
+    }
+
+    result<void> start()
+    {
+        duty_.start();
+        return server_.start();
+    }
+    void stop()
+    {
+        duty_.stop();
+        server_.stop();
+    }
+
+private:
+    platform::text_member_codec members_;
+    platform::promotion_client promotions_;
+    keeper_control control_;
+    promotion_duty duty_;
+    platform::control_server server_;
+};
+
 exit_code run(const daemon_options& options)
 {
     auto document = settings_document::open(options.settings_file);
-    auto settings = read_keeper_settings(document);
+    auto read = read_keeper_document(document);
+    const auto& settings = read.keeper;
     finish_settings(options, document);
 
     start_log(settings.id.str());
@@ -45,7 +105,19 @@
     rpc_server server(executor, settings.rpc, token_codec(settings.fleet_key));
     keeper_service service(settings, replicated, events);
     service.add_to(server);
+    std::optional<platform_side> on_platform;
+    if (read.platform) {
+        on_platform.emplace(runtime, settings, *read.platform, replicated, service);
+    }
     auto started = server.start();
+    std::unique_ptr<http_server> metrics_page;
+    if (started && settings.metrics) {
+        metrics_page = make_metrics_page(runtime.control(), *settings.metrics);
+        started = metrics_page->start();
+    }
+    if (started && on_platform) {
+        started = on_platform->start();
+    }
     if (!started) {
         std::cerr << started.error().str() << "\n";
         return exit_code::cannot_start;
@@ -53,10 +125,24 @@
     replicated.start();
     events.record({.kind = event_kind::process_started, .detail = settings.id.str()});
     log_change("process_started", {{"rpc", to_string(settings.rpc)}});
-    runtime.run([&] {
-        net::co_spawn(executor, stop(replicated, server, runtime), net::detached);
+    reload_watch watch(executor, options.settings_file, [&](settings_document& changed) {
+        auto again = read_keeper_document(changed);
+        if (changed.problems().empty()) {
+            replicated.set_seeds(again.keeper.seeds);
+            log_change("settings_reloaded",
+                       {{"seeds", std::to_string(again.keeper.seeds.size())}});
+        }
     });
-    return exit_code::success;
+    watch.start();
+    runtime.run(
+        [&] {
+            if (on_platform) {
+                on_platform->stop();
+            }
+            net::co_spawn(executor, stop(replicated, server, runtime), net::detached);
+        },
+        [&] { watch.reload(); });
+    end_process(exit_code::success);
 }
 
 } // namespace
--- /dev/null
+++ b/src/papayakeeper/member_contact.cpp
@@ -0,0 +1,108 @@
+#include "member_contact.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <papayabridge/daemon.hpp>
+
+namespace papayabridge {
+
+namespace {
+
+// A member whose slots are all busy is asked again after so long.
+constexpr std::chrono::milliseconds busy_pause{15};
+
+} // namespace
+
+member_contact::member_contact(net::any_io_executor executor, const member_codec& codec,
+                               const pooled_member& member)
+    : executor_(std::move(executor)), codec_(codec)
+{
+    report_.run = member.run;
+    report_.leaving = member.leaving;
+    auto endpoint = parse_endpoint(member.endpoint);
+    if (endpoint) {
+        address_ = member_address{
+            .endpoint = *endpoint, .service = member.service, .id = member.run.id};
+    }
+}
+
+net::awaitable<void> member_contact::reach(time_point deadline)
+{
+    if (!address_) {
+        co_return;
+    }
+    auto opened = co_await member_connection::open(executor_, codec_, *address_, deadline,
+                                                   &report_.is_stopped);
+    if (!opened) {
+        log_change("member_not_reached",
+                   {{"member", report_.run.id.str()}, {"why", opened.error().str()}});
+        co_return;
+    }
+    connection_ = std::move(opened.value());
+    co_await refresh(deadline);
+}
+
+net::awaitable<void> member_contact::refresh(time_point deadline)
+{
+    co_await ask([this](std::string& out) { codec_.encode_status(out); }, deadline);
+}
+
+net::awaitable<void> member_contact::stop_receiving(term above_newest,
+                                                    time_point deadline)
+{
+    co_await ask(
+        [this, above_newest](std::string& out) {
+            codec_.encode_stop_receiving(out, above_newest);
+        },
+        deadline);
+}
+
+net::awaitable<void> member_contact::resume_receiving(time_point deadline)
+{
+    co_await ask([this](std::string& out) { codec_.encode_resume_receiving(out); },
+                 deadline);
+}
+
+net::awaitable<void> member_contact::ask(encoder encode, time_point deadline)
+{
+    report_.status.reset();
+    while (connection_ && steady_clock::now() < deadline) {
+        std::string question;
+        encode(question);
+        result<statement_answer> answer = fail(error_kind::unreachable, "not sent");
+        auto sent = co_await connection_->send(std::move(question), deadline);
+        if (sent) {
+            answer = co_await connection_->receive(deadline);
+        }
+        if (!answer) {
+            log_change("member_not_answering",
+                       {{"member", report_.run.id.str()}, {"why", answer.error().str()}});
+            connection_.reset();
+            co_return;
+        }
+        const auto& failure = answer.value().failure;
+        if (!failure) {
+            auto status = answer.value().rows.empty()
+                              ? fail(error_kind::bad_request, "no status row")
+                              : codec_.decode_status(answer.value().rows.front());
+            if (status) {
+                report_.status = status.value();
+            } else {
+                log_change("member_status_unreadable", {{"member", report_.run.id.str()},
+                                                        {"why", status.error().detail}});
+            }
+            co_return;
+        }
+        if (failure->kind != error_kind::overloaded) {
+            log_change("member_refused_question",
+                       {{"member", report_.run.id.str()}, {"why", failure->detail}});
+            co_return;
+        }
+        net::steady_timer timer(executor_);
+        timer.expires_after(busy_pause);
+        co_await timer.async_wait(net::as_tuple(net::use_awaitable));
+    }
+}
+
+} // namespace papayabridge
--- a/src/papayakeeper/peer_network.cpp
+++ b/src/papayakeeper/peer_network.cpp
@@ -30,8 +30,12 @@
 Json::Value to_value(const genesis_report& report)
 {
     Json::Value value;
+    value["id"] = report.id.str();
     value["incarnation"] = Json::UInt64(report.incarnation.value());
     value["voters"] = to_value(report.voters);
+    for (const auto& [id, place] : report.places) {
+        value["places"][id.str()] = to_string(place);
+    }
     return value;
 }
 
@@ -39,24 +43,31 @@
                            std::shared_ptr<rpc_clients> clients)
     : executor_(std::move(executor)), settings_(settings), clients_(std::move(clients))
 {
+    for (const auto& peer : settings.peers) {
+        places_[peer.id] = peer.rpc;
+    }
+    places_[settings.id] = settings.rpc;
 }
 
-const tcp::endpoint* peer_network::endpoint_of(const keeper_id& id) const
+void peer_network::learn(const keeper_id& id, const tcp::endpoint& place)
 {
-    for (const auto& peer : settings_.peers) {
-        if (peer.id == id) {
-            return &peer.rpc;
-        }
+    if (id != settings_.id && !id.empty()) {
+        places_[id] = place;
     }
-    return nullptr;
+}
+
+const tcp::endpoint* peer_network::endpoint_of(const keeper_id& id) const
+{
+    auto found = places_.find(id);
+    return found == places_.end() ? nullptr : &found->second;
 }
 
 std::vector<keeper_id> peer_network::others() const
 {
     std::vector<keeper_id> ids;
-    for (const auto& peer : settings_.peers) {
-        if (peer.id != settings_.id) {
-            ids.push_back(peer.id);
+    for (const auto& [id, place] : places_) {
+        if (id != settings_.id) {
+            ids.push_back(id);
         }
     }
     return ids;
@@ -118,16 +129,34 @@
     co_return answer;
 }
 
-net::awaitable<result<genesis_report>> peer_network::ask_genesis(keeper_id peer)
+net::awaitable<result<rpc_message>>
+peer_network::propose_at(tcp::endpoint place, command change, time_point deadline)
+{
+    rpc_message request;
+    request.body["command"] = to_value(change);
+    auto& client = clients_->to(place);
+    auto answer = co_await client.call("keeper.propose", std::move(request), deadline);
+    co_return answer;
+}
+
+net::awaitable<result<genesis_report>> peer_network::ask_genesis(tcp::endpoint place)
 {
     rpc_message request;
     auto deadline = steady_clock::now() + genesis_timeout;
-    auto answer =
-        co_await call(std::move(peer), "consensus.genesis", std::move(request), deadline);
+    auto& client = clients_->to(place);
+    auto answer = co_await client.call("consensus.genesis", std::move(request), deadline);
     if (!answer) {
         co_return answer.error();
     }
     genesis_report report;
+    report.id = keeper_id(text_of(answer.value().body, "id"));
+    const auto& places = answer.value().body["places"];
+    for (const auto& id : places.getMemberNames()) {
+        auto endpoint = parse_endpoint(text_of(places, id.c_str()));
+        if (endpoint) {
+            report.places[keeper_id(id)] = *endpoint;
+        }
+    }
     report.incarnation =
         keeper_incarnation(number_of(answer.value().body, "incarnation"));
     report.voters = voters_from(answer.value().body["voters"]);
--- a/src/papayakeeper/peer_network.hpp
+++ b/src/papayakeeper/peer_network.hpp
@@ -14,9 +14,13 @@
 /// What a keeper knows of the first voters.
 struct genesis_report
 {
+    /// The keeper that reports.
+    keeper_id id;
     keeper_incarnation incarnation;
     /// Empty if it knows none.
     voter_map voters;
+    /// The keepers that it knows, itself included.
+    std::map<keeper_id, tcp::endpoint> places;
 };
 
 /// A message from another keeper, with the entries that keeper heard.
@@ -39,11 +43,17 @@
     void send(const consensus_message& message, const std::vector<heard_entry>& heard);
     /// Reads a received message; nothing while the link from its sender is cut.
     std::optional<peer_message> receive(const rpc_message& request) const;
-    /// Asks \p peer what it knows of the first voters.
-    net::awaitable<result<genesis_report>> ask_genesis(keeper_id peer);
+    /// Asks the keeper at \p place what it knows of the first voters.
+    net::awaitable<result<genesis_report>> ask_genesis(tcp::endpoint place);
+    /// Keeper \p id is reached at \p place.
+    void learn(const keeper_id& id, const tcp::endpoint& place);
+    const std::map<keeper_id, tcp::endpoint>& places() const noexcept { return places_; }
     /// Passes a call on to \p peer.
     net::awaitable<result<rpc_message>> call(keeper_id peer, std::string method,
                                              rpc_message request, time_point deadline);
+    /// Has the keeper at \p place propose \p change.
+    net::awaitable<result<rpc_message>> propose_at(tcp::endpoint place, command change,
+                                                   time_point deadline);
     std::vector<keeper_id> others() const;
 
 private:
@@ -52,6 +62,7 @@
     net::any_io_executor executor_;
     const keeper_settings& settings_;
     std::shared_ptr<rpc_clients> clients_;
+    std::map<keeper_id, tcp::endpoint> places_;
 };
 
 } // namespace papayabridge
--- a/src/papayakeeper/replicator.cpp
+++ b/src/papayakeeper/replicator.cpp
@@ -39,6 +39,7 @@
                .transition_timeout = settings.transition_timeout}),
       work_(control), started_(steady_clock::now())
 {
+    seeds_ = settings.seeds;
 }
 
 void replicator::open()
@@ -70,6 +71,7 @@
 void replicator::begin(recovered_state recovered)
 {
     first_voters_ = recovered.snapshot.voters;
+    learn_places(recovered);
     snapshot_index_ = recovered.snapshot.index;
     auto installed = install(recovered.snapshot);
     if (!installed) {
@@ -80,13 +82,20 @@
                               .incarnation = incarnation_,
                               .election_timeout = settings_.election_timeout,
                               .heartbeat = settings_.heartbeat,
-                              .seed = random_number()};
-    for (const auto& peer : settings_.peers) {
-        options.group.push_back(peer.id);
+                              .seed = random_number(),
+                              .most_voters = settings_.voters};
+    for (const auto& [id, place] : network_.places()) {
+        options.group.push_back(id);
+    }
+    for (const auto& [id, incarnation] : first_voters_) {
+        options.group.push_back(id);
     }
     consensus_.emplace(std::move(options), std::move(recovered), steady_clock::now());
     net::co_spawn(control_, keep_time(), net::detached);
     net::co_spawn(control_, pump(), net::detached);
+    if (finds_peers()) {
+        net::co_spawn(control_, stay_registered(), net::detached);
+    }
 }
 
 net::awaitable<void> replicator::pause(std::chrono::milliseconds time)
@@ -226,6 +235,7 @@
         return fail(error_kind::storage_failed, "a snapshot is not readable");
     }
     applied_.install(snapshot.index, std::move(state.value()));
+    learn_places(applied_.state().pool());
     snapshot_index_ = snapshot.index;
     return success();
 }
@@ -246,6 +256,12 @@
             value ? command_from(value.value()) : result<command>(value.error());
         if (change) {
             outcome = applied_.apply(entry.index, change.value());
+            if (const auto* known = std::get_if<register_keeper>(&change.value())) {
+                auto place = parse_endpoint(known->place.rpc);
+                if (place) {
+                    learn(known->place.id, *place);
+                }
+            }
         } else {
             applied_.advance(entry.index);
             outcome = {.accepted = false, .problem = change.error()};
@@ -326,7 +342,7 @@
     }
     auto busy = [this] {
         bool leads = consensus_ && consensus_->role() == keeper_role::leader;
-        return (leads && settings_.peers.size() > 1) || !proposals_.empty();
+        return (leads && !network_.others().empty()) || !proposals_.empty();
     };
     while (!storage_failure_ && busy() && steady_clock::now() < until) {
         co_await pause(clock_period);
--- a/src/papayakeeper/replicator.hpp
+++ b/src/papayakeeper/replicator.hpp
@@ -37,6 +37,12 @@
                                                      bool forwarded);
     /// Takes a consensus message.
     void receive(const rpc_message& request);
+    /// Returns once this process holds all that was accepted before the call.
+    net::awaitable<result<void>> confirm_newest(time_point deadline);
+    /// Passes a call to the keeper that leads, if it is another one.
+    net::awaitable<void> tell_leader(std::string method, rpc_message request);
+    /// Replaces the places where keepers may be found.
+    void set_seeds(std::vector<tcp::endpoint> seeds) { seeds_ = std::move(seeds); }
     genesis_report genesis() const;
 
     /// Whether a leader is heard, and this keeper goes on.
@@ -48,6 +54,14 @@
 private:
     net::awaitable<void> find_genesis();
     net::awaitable<bool> collect_genesis();
+    net::awaitable<void> stay_registered();
+    net::awaitable<void> register_self();
+    std::vector<tcp::endpoint> places_to_ask() const;
+    void learn(const keeper_id& id, const tcp::endpoint& place);
+    void learn_places(const genesis_report& report);
+    void learn_places(const recovered_state& recovered);
+    void learn_places(const pool_state& pool);
+    bool finds_peers() const { return settings_.peers.empty(); }
     net::awaitable<void> adopt(voter_map voters);
     void begin(recovered_state recovered);
     net::awaitable<void> keep_time();
@@ -77,6 +91,7 @@
     keeper_log log_;
     keeper_incarnation incarnation_;
     voter_map first_voters_;
+    std::vector<tcp::endpoint> seeds_;
     std::optional<consensus> consensus_;
     std::optional<recovered_state> recovered_;
     applied_state applied_;
--- a/src/papayakeeper/replicator_propose.cpp
+++ b/src/papayakeeper/replicator_propose.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds leader_poll{20};
+constexpr std::chrono::milliseconds tell_timeout{300};
 
 } // namespace
 
@@ -49,6 +50,36 @@
     co_return failure;
 }
 
+// The barrier has its place in the log after all that was accepted before the call.
+net::awaitable<result<void>> replicator::confirm_newest(time_point deadline)
+{
+    command barrier = read_barrier{};
+    auto accepted = co_await propose(std::move(barrier), deadline, false);
+    if (!accepted) {
+        co_return accepted.error();
+    }
+    while (applied_.applied() < accepted.value().index) {
+        if (steady_clock::now() >= deadline) {
+            co_return fail(error_kind::no_quorum, "not caught up by the deadline");
+        }
+        co_await pause(leader_poll);
+    }
+    co_return success();
+}
+
+net::awaitable<void> replicator::tell_leader(std::string method, rpc_message request)
+{
+    auto leader = consensus_ ? consensus_->leader(steady_clock::now()) : keeper_id();
+    if (leader.empty() || leader == settings_.id) {
+        co_return;
+    }
+    request.body["forwarded"] = true;
+    auto until = steady_clock::now() + tell_timeout;
+    // The caller says it again as long as it holds.
+    static_cast<void>(co_await network_.call(std::move(leader), std::move(method),
+                                             std::move(request), until));
+}
+
 net::awaitable<result<proposal_outcome>> replicator::propose_here(const std::string& text,
                                                                   time_point deadline)
 {
