--- a/src/papayakeeper/member_contact.cpp
+++ b/src/papayakeeper/member_contact.cpp
@@ -45,23 +45,23 @@
 
 net::awaitable<void> member_contact::refresh(time_point deadline)
 {
-    co_await ask([this](std::string& out) { codec_.encode_status(out); }, deadline);
+    encoder encode = [this](std::string& out) { codec_.encode_status(out); };
+    co_await ask(std::move(encode), deadline);
 }
 
 net::awaitable<void> member_contact::stop_receiving(term above_newest,
                                                     time_point deadline)
 {
-    co_await ask(
-        [this, above_newest](std::string& out) {
-            codec_.encode_stop_receiving(out, above_newest);
-        },
-        deadline);
+    encoder encode = [this, above_newest](std::string& out) {
+        codec_.encode_stop_receiving(out, above_newest);
+    };
+    co_await ask(std::move(encode), deadline);
 }
 
 net::awaitable<void> member_contact::resume_receiving(time_point deadline)
 {
-    co_await ask([this](std::string& out) { codec_.encode_resume_receiving(out); },
-                 deadline);
+    encoder encode = [this](std::string& out) { codec_.encode_resume_receiving(out); };
+    co_await ask(std::move(encode), deadline);
 }
 
 net::awaitable<void> member_contact::ask(encoder encode, time_point deadline)
--- a/src/papayakeeper/promotion_duty.cpp
+++ b/src/papayakeeper/promotion_duty.cpp
@@ -293,9 +293,10 @@
         all.push_back(std::make_unique<member_contact>(executor_, codec_, *member));
     }
     auto deadline = steady_clock::now() + reach_timeout;
-    co_await on_each(all, [deadline](member_contact& one) -> net::awaitable<void> {
+    contact_step reach = [deadline](member_contact& one) -> net::awaitable<void> {
         co_await one.reach(deadline);
-    });
+    };
+    co_await on_each(all, std::move(reach));
     co_return all;
 }
 
@@ -308,24 +309,26 @@
     }
     auto above = newest_term(reports).next();
     auto deadline = steady_clock::now() + reach_timeout;
-    co_await on_each(all, [=](member_contact& one) -> net::awaitable<void> {
+    contact_step stop = [=](member_contact& one) -> net::awaitable<void> {
         const auto& id = one.report().run.id;
         if (id != primary && id != target) {
             co_await one.stop_receiving(above, deadline);
         }
-    });
+    };
+    co_await on_each(all, std::move(stop));
 }
 
 net::awaitable<void> promotion_duty::resume_receiving(contacts& all)
 {
     auto deadline = steady_clock::now() + reach_timeout;
-    co_await on_each(all, [deadline](member_contact& one) -> net::awaitable<void> {
+    contact_step resume = [deadline](member_contact& one) -> net::awaitable<void> {
         bool stopped =
             one.report().status && one.report().status->stopped_below.value() != 0;
         if (stopped) {
             co_await one.resume_receiving(deadline);
         }
-    });
+    };
+    co_await on_each(all, std::move(resume));
 }
 
 promotion_question promotion_duty::question_of(const service_name& name,
@@ -422,7 +425,8 @@
             static_cast<void>(co_await keep_leading(name, leading, token, all));
             co_return;
         }
-        co_await stop_receiving(all, question.primary, {});
+        member_id no_target;
+        co_await stop_receiving(all, question.primary, no_target);
         target = safe_target(question_of(name, all));
     }
     if (target.empty()) {
@@ -519,9 +523,10 @@
     }
     if (primary != nullptr) {
         auto until = steady_clock::now() + reach_timeout;
-        co_await on_each(all, [until](member_contact& one) -> net::awaitable<void> {
+        contact_step refresh = [until](member_contact& one) -> net::awaitable<void> {
             co_await one.refresh(until);
-        });
+        };
+        co_await on_each(all, std::move(refresh));
         auto holds = [&](const auto& one) {
             const auto& report = one->report();
             return report.run.id == question.primary ||
