Silent members are noticed early; leaving members take no new statements

(2) A dark primary was complained about only after a statement's whole limit, and only at one keeper, which may be frozen itself. (4) Entries that had just started answered that a database is unknown. (5) A resent configuration was replicated again. Ruled out: a stale view (the entry knew of the leaving for 9 s). Change: leaving members are left out after three quarters of their drain time; members without any answer for 450 ms are avoided and told to all keepers; a replica that was behind is not asked for what it lacked for 60 ms; openings wait for the first configuration; a held version is acknowledged at once; a keeper that starts asks for votes after a quarter of the usual wait; a primary that is silent to the leader is replaced on the complaint of a quarter of the entries.

--- a/src/include/papayabridge/keeper_client.hpp
+++ b/src/include/papayabridge/keeper_client.hpp
@@ -95,8 +95,8 @@
     /// The status of the keeper at \p keeper.
     net::awaitable<result<keeper_status>> status(tcp::endpoint keeper);
 
-    /// Tells the keepers that a member cannot be used; not repeated if it gets lost.
-    net::awaitable<void> tell_trouble(member_trouble trouble);
+    /// Tells all keepers, without waiting, that a member cannot be used.
+    void tell_trouble(const member_trouble& trouble);
 
     /// Replaces the keepers, nearest first.
     void use(std::vector<tcp::endpoint> keepers);
--- a/src/libpapayabridge/core/consensus.cpp
+++ b/src/libpapayabridge/core/consensus.cpp
@@ -6,6 +6,13 @@
 
 namespace papayabridge {
 
+namespace {
+
+// Part of the usual wait after which a keeper that starts asks for votes.
+constexpr int first_election_part = 4;
+
+} // namespace
+
 consensus::consensus(consensus_options options, recovered_state recovered,
                      steady_time now)
     : options_(std::move(options)),
@@ -31,6 +38,9 @@
         }
     }
     rest_election_timer();
+    // A keeper that starts has heard no leader that it would have to wait for, and asks
+    // before it takes a higher term.
+    election_at_ = now_ + (election_at_ - now_) / first_election_part;
 }
 
 void consensus::rest_election_timer()
--- a/src/libpapayabridge/core/promotion_plan.cpp
+++ b/src/libpapayabridge/core/promotion_plan.cpp
@@ -10,6 +10,9 @@
 // A primary that answers the leader is replaced only if most entries have failed to use
 // it for so long; shorter troubles pass by themselves more often than not.
 constexpr std::chrono::milliseconds stalled_for{800};
+// A primary that is silent to the leader, too, is replaced for a quarter of the entries
+// after so long: a change of primary takes less than most cuts last.
+constexpr std::chrono::milliseconds silent_for{500};
 
 bool is_replica(const promotion_question& question, const member_report& member)
 {
@@ -106,11 +109,11 @@
 {
     switch (probe) {
     case probe_outcome::stopped:
-        return true;
     case probe_outcome::answers:
         return true;
     case probe_outcome::silent:
-        return 2 * complaining >= entries;
+        return 2 * complaining >= entries ||
+               (4 * complaining >= entries && lasting >= silent_for);
     case probe_outcome::leads:
         return 2 * complaining > entries && lasting >= stalled_for;
     }
--- a/src/libpapayabridge/net/keeper_client.cpp
+++ b/src/libpapayabridge/net/keeper_client.cpp
@@ -1,6 +1,8 @@
 #include <papayabridge/keeper_client.hpp>
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <papayabridge/json.hpp>
@@ -40,6 +42,13 @@
     co_await timer.async_wait(net::use_awaitable);
 }
 
+// Repeated by the caller while it holds, so that a lost call does no harm.
+net::awaitable<void> tell(rpc_client* keeper, rpc_message request, time_point deadline)
+{
+    static_cast<void>(
+        co_await keeper->call("keeper.trouble", std::move(request), deadline));
+}
+
 } // namespace
 
 keeper_client::keeper_client(net::any_io_executor executor,
@@ -72,14 +81,18 @@
     }
 }
 
-net::awaitable<void> keeper_client::tell_trouble(member_trouble trouble)
+void keeper_client::tell_trouble(const member_trouble& trouble)
 {
     rpc_message request;
     request.body = to_value(trouble);
+    request.body["forwarded"] = true;
     auto deadline = steady_clock::now() + tell_timeout;
-    auto place = preferred();
-    static_cast<void>(co_await clients_->to(place).call("keeper.trouble",
-                                                        std::move(request), deadline));
+    // To each keeper: the one that is asked otherwise may be in trouble, too, and only
+    // the one that leads acts on it.
+    for (const auto& place : keepers_) {
+        net::co_spawn(executor_, tell(&clients_->to(place), request, deadline),
+                      net::detached);
+    }
 }
 
 net::awaitable<result<command_outcome>> keeper_client::propose(command change,
--- a/src/libpapayabridge/session/caller_session.cpp
+++ b/src/libpapayabridge/session/caller_session.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t read_bytes = 1024;
 // Input buffers larger than this are released once they are empty.
 constexpr std::size_t buffer_kept = 4096;
+// Callers give up an opening after two seconds.
+constexpr std::chrono::milliseconds configuration_wait{1700};
+constexpr std::chrono::milliseconds configuration_poll{10};
 // Values and prepared names of one session, so that its memory is bounded.
 constexpr std::size_t most_values = 256;
 
@@ -99,6 +102,20 @@
     co_return !failed;
 }
 
+// An entry that has just started does not know yet which databases there are.
+net::awaitable<bool> caller_session::has_configuration()
+{
+    auto until = steady_clock::now() + configuration_wait;
+    while (services_.view->configuration.version == config_version()) {
+        if (steady_clock::now() >= until) {
+            co_return false;
+        }
+        idle_.expires_after(configuration_poll);
+        co_await idle_.async_wait(use_tuple);
+    }
+    co_return true;
+}
+
 net::awaitable<bool> caller_session::open()
 {
     auto first = co_await next_message();
@@ -114,6 +131,12 @@
         co_return false;
     }
     database_ = opening->database;
+    if (!co_await has_configuration()) {
+        services_.callers.encode_refusal(
+            bytes, fail(error_kind::overloaded, "no configuration is known yet"));
+        co_await write(std::move(bytes));
+        co_return false;
+    }
     if (route() == nullptr) {
         services_.callers.encode_refusal(
             bytes, fail(error_kind::not_found, "no database " + database_.str()));
--- a/src/libpapayabridge/session/caller_session.hpp
+++ b/src/libpapayabridge/session/caller_session.hpp
@@ -31,6 +31,7 @@
 
     net::awaitable<void> serve();
     net::awaitable<bool> open();
+    net::awaitable<bool> has_configuration();
     net::awaitable<result<caller_message>> next_message();
     net::awaitable<bool> write(std::string bytes);
     net::awaitable<statement_answer> answer(const statement& one);
--- a/src/libpapayabridge/session/member_pool.cpp
+++ b/src/libpapayabridge/session/member_pool.cpp
@@ -72,7 +72,8 @@
 
 member_health& member_pool::health(const member_id& member)
 {
-    return slots_[member].health;
+    auto found = slots_.find(member);
+    return found == slots_.end() ? unknown_ : found->second.health;
 }
 
 void member_pool::update(const std::shared_ptr<const pool_view>& view)
@@ -94,6 +95,11 @@
             one.address = {
                 .endpoint = member.endpoint, .service = name, .id = member.run.id};
             one.most = static_cast<unsigned>(share);
+            if (!member.leaving) {
+                one.health.leaving_since.reset();
+            } else if (!one.health.leaving_since) {
+                one.health.leaving_since = steady_clock::now();
+            }
             one.gone = false;
         }
     }
--- a/src/libpapayabridge/session/member_pool.hpp
+++ b/src/libpapayabridge/session/member_pool.hpp
@@ -61,8 +61,18 @@
     std::optional<time_point> writes_failing_since;
     /// Not used before.
     time_point avoid_until;
-    /// Refused a read as not fresh enough; used last before.
+    /// Refused a read as not fresh enough; not asked for \p reached or more before.
     time_point behind_until;
+    /// How far its log had come then.
+    position reached;
+    /// Since when this entry knows that it leaves.
+    std::optional<time_point> leaving_since;
+    /// Statements that wait for its answer, and since when there has been none.
+    unsigned outstanding = 0;
+    time_point last_sign;
+    /// The same of statements that write or commit.
+    unsigned writes_outstanding = 0;
+    time_point last_write_sign;
 };
 
 /// Single thread.
@@ -78,6 +88,7 @@
     /// something changed, so that the caller chooses its members again.
     net::awaitable<result<pooled_connection>> take(connection_request request);
 
+    /// Of a member that is not known, a record that nobody uses.
     member_health& health(const member_id& member);
     /// A statement to the member got its answer.
     void note_success(const member_id& member, bool wrote);
@@ -125,6 +136,7 @@
     net::any_io_executor executor_;
     const member_codec& codec_;
     std::map<member_id, slot> slots_;
+    member_health unknown_;
     // In order of arrival.
     std::list<waiter*> waiters_;
 };
--- a/src/libpapayabridge/session/pool_view.hpp
+++ b/src/libpapayabridge/session/pool_view.hpp
@@ -46,6 +46,8 @@
 {
     pooled_configuration configuration;
     std::map<service_name, viewed_service> services;
+    /// A member that leaves takes no new statement once it has left for so long.
+    std::chrono::milliseconds leave_limit{std::chrono::seconds(5)};
     /// Entries that share the members' connections.
     std::size_t entries = 1;
 
--- a/src/libpapayabridge/session/session_entry.cpp
+++ b/src/libpapayabridge/session/session_entry.cpp
@@ -17,6 +17,9 @@
 constexpr std::chrono::milliseconds propose_timeout{2000};
 // While a primary cannot be used, the keepers hear of it so often.
 constexpr std::chrono::milliseconds trouble_period{150};
+// A member with statements under way that gives no answer at all for so long is in
+// trouble; one that is busy answers some of them.
+constexpr std::chrono::milliseconds silence_limit{450};
 // A failure that is not repeated for so long is no trouble any more.
 constexpr std::chrono::milliseconds trouble_validity{600};
 // Without descriptors no connection can be accepted until one is closed.
@@ -34,6 +37,19 @@
         std::chrono::duration_cast<std::chrono::microseconds>(now).count());
 }
 
+// Since when a member has left statements without an answer, if it does so for longer
+// than a busy one would.
+std::optional<time_point> silent_since(const member_health& health, time_point now)
+{
+    if (health.outstanding > 0 && now - health.last_sign > silence_limit) {
+        return health.last_sign;
+    }
+    if (health.writes_outstanding > 0 && now - health.last_write_sign > silence_limit) {
+        return health.last_write_sign;
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 session_entry::session_entry(daemon_runtime& runtime, session_settings settings,
@@ -191,6 +207,8 @@
     }
     auto view = std::make_shared<pool_view>(
         make_view(state_, configuration_, settings_.location));
+    // The rest of the time is for what is under way, and for news that came late.
+    view->leave_limit = settings_.member_drain * 3 / 4;
     for (const auto& [name, service] : view->services) {
         const auto* before = services_.view->service(name);
         if (before == nullptr || before->primary_changes != service.primary_changes) {
@@ -233,30 +251,38 @@
 net::awaitable<void> session_entry::tell_troubles()
 {
     while (true) {
-        auto now = steady_clock::now();
         auto view = services_.view;
         for (const auto& [name, service] : view->services) {
-            if (service.primary.empty()) {
-                continue;
-            }
-            auto health = pool_.health(service.primary);
-            auto since =
-                health.failing_since ? health.failing_since : health.writes_failing_since;
-            if (since && now - health.last_failure < trouble_validity) {
-                auto lasting =
-                    std::chrono::duration_cast<std::chrono::milliseconds>(now - *since);
-                member_trouble trouble{.entry = settings_.id,
-                                       .service = name,
-                                       .member = service.primary,
-                                       .lasting = lasting};
-                net::co_spawn(executor_, keepers_.tell_trouble(std::move(trouble)),
-                              net::detached);
+            for (const auto& member : service.members) {
+                look_at(name, member.run.id, member.run.id == service.primary);
             }
         }
         co_await pause(trouble_period);
     }
 }
 
+void session_entry::look_at(const service_name& service, const member_id& member,
+                            bool is_primary)
+{
+    auto now = steady_clock::now();
+    auto& health = pool_.health(member);
+    auto since = silent_since(health, now);
+    if (since) {
+        // Other members are used meanwhile, where there are any.
+        health.avoid_until = std::max(health.avoid_until, now + trouble_period);
+    } else if (now - health.last_failure < trouble_validity) {
+        since = health.failing_since ? health.failing_since : health.writes_failing_since;
+    }
+    if (!since || !is_primary) {
+        return;
+    }
+    keepers_.tell_trouble(
+        {.entry = settings_.id,
+         .service = service,
+         .member = member,
+         .lasting = std::chrono::duration_cast<std::chrono::milliseconds>(now - *since)});
+}
+
 // --- Stopping ---
 
 void session_entry::reload(const session_settings& settings)
--- a/src/libpapayabridge/session/session_entry.hpp
+++ b/src/libpapayabridge/session/session_entry.hpp
@@ -41,6 +41,7 @@
     net::awaitable<void> follow_keepers();
     net::awaitable<void> register_self();
     net::awaitable<void> tell_troubles();
+    void look_at(const service_name& service, const member_id& member, bool is_primary);
     net::awaitable<void> wind_down();
     net::awaitable<void> pause(std::chrono::milliseconds time);
     void take_update(watch_update update);
--- a/src/libpapayabridge/session/session_settings.cpp
+++ b/src/libpapayabridge/session/session_settings.cpp
@@ -32,6 +32,8 @@
     if (settings.seeds.empty()) {
         section.refuse("seeds", "at least one \"ADDRESS:PORT\"");
     }
+    settings.member_drain =
+        section.duration("member_drain_ms", grace_ms, settings.member_drain);
     settings.stop_grace =
         section.duration("stop_grace_ms", grace_ms, settings.stop_grace);
     return settings;
--- a/src/libpapayabridge/session/session_settings.hpp
+++ b/src/libpapayabridge/session/session_settings.hpp
@@ -19,6 +19,8 @@
     std::string fleet_key;
     /// Where keepers may be found.
     std::vector<tcp::endpoint> seeds;
+    /// A member that leaves takes statements for so long.
+    std::chrono::milliseconds member_drain{7000};
     /// From the signal to stop until the process is ended by force.
     std::chrono::milliseconds stop_grace{6000};
 };
--- a/src/libpapayabridge/session/statement_runner.cpp
+++ b/src/libpapayabridge/session/statement_runner.cpp
@@ -35,6 +35,47 @@
     }
 }
 
+// Counts a statement that waits for its answer, so that a member which gives none to
+// anybody is noticed before the statement's own limit.
+class answer_watch
+{
+public:
+    answer_watch(member_pool& pool, member_id member, bool writes)
+        : pool_(pool), member_(std::move(member)), writes_(writes)
+    {
+        auto& health = pool_.health(member_);
+        auto now = steady_clock::now();
+        if (health.outstanding++ == 0) {
+            health.last_sign = now;
+        }
+        if (writes_ && health.writes_outstanding++ == 0) {
+            health.last_write_sign = now;
+        }
+    }
+    ~answer_watch()
+    {
+        auto& health = pool_.health(member_);
+        health.outstanding -= health.outstanding > 0 ? 1 : 0;
+        health.writes_outstanding -= writes_ && health.writes_outstanding > 0 ? 1 : 0;
+    }
+    answer_watch(const answer_watch&) = delete;
+    answer_watch& operator=(const answer_watch&) = delete;
+
+    void answered()
+    {
+        auto& health = pool_.health(member_);
+        health.last_sign = steady_clock::now();
+        if (writes_) {
+            health.last_write_sign = health.last_sign;
+        }
+    }
+
+private:
+    member_pool& pool_;
+    member_id member_;
+    bool writes_;
+};
+
 // Reads the answers to the setup before that to a statement.
 net::awaitable<result<void>> finish_setup(pooled_connection& connection,
                                           connection_setup& setup, time_point deadline)
@@ -156,19 +197,21 @@
     if (!needs_primary) {
         where.at_least = needed_position(work);
     }
-    if (!where.at_least) {
-        if (!service->primary.empty()) {
-            where.members.push_back(service->primary);
-        }
-        return where;
-    }
-    // Members that leave, were behind or failed come after the others; nearest first.
     auto now = steady_clock::now();
+    // Members that leave or failed come after the others; nearest first.
     std::vector<std::pair<int, member_id>> ordered;
     for (const auto& member : service->members) {
         const auto& health = services_.pool.health(member.run.id);
-        int penalty = (member.leaving ? 8 : 0) + (now < health.behind_until ? 4 : 0) +
-                      (work.failed_at.count(member.run.id) != 0 ? 16 : 0);
+        bool gone = health.leaving_since &&
+                    now - *health.leaving_since > services_.view->leave_limit;
+        bool wrong = !where.at_least && member.run.id != service->primary;
+        bool behind = where.at_least && now < health.behind_until &&
+                      health.reached < *where.at_least;
+        if (gone || wrong || behind) {
+            continue;
+        }
+        int penalty =
+            (member.leaving ? 1 : 0) + (work.failed_at.count(member.run.id) != 0 ? 2 : 0);
         ordered.emplace_back(penalty, member.run.id);
     }
     std::stable_sort(ordered.begin(), ordered.end(),
@@ -205,13 +248,15 @@
 }
 
 void statement_runner::note_problem(attempt& work, const member_id& member,
-                                    const error& problem)
+                                    const error& problem, std::optional<position> reached)
 {
     auto now = steady_clock::now();
     work.last_problem = problem;
     work.failed_at.insert(member);
     if (problem.kind == error_kind::behind) {
-        services_.pool.health(member).behind_until = now + behind_for;
+        auto& health = services_.pool.health(member);
+        health.behind_until = now + behind_for;
+        health.reached = reached.value_or(position());
     }
     if (!did_not_run(problem.kind)) {
         // It was offered to a member, so it is worth another one's time.
@@ -239,6 +284,8 @@
 statement_runner::exchange(attempt& work, pooled_connection& connection,
                            connection_setup setup, std::string bytes)
 {
+    answer_watch watch(services_.pool, connection.member(),
+                       work.writes || work.one.verb == statement_verb::commit);
     auto sent = co_await connection->send(
         encode_setup(services_.members, setup) + std::move(bytes), work.deadline);
     if (!sent) {
@@ -249,6 +296,9 @@
         co_return ready.error();
     }
     auto answer = co_await connection->receive(work.deadline);
+    if (answer) {
+        watch.answered();
+    }
     if (!answer && steady_clock::now() >= work.deadline) {
         services_.pool.note_failure(connection.member(), work.writes);
     } else if (answer) {
@@ -375,7 +425,7 @@
         connection.give_back();
     }
     if (failure && failure->kind != error_kind::bad_request) {
-        note_problem(work, member, *failure);
+        note_problem(work, member, *failure, answer.value().log_position);
         co_await rest(work);
         co_return std::nullopt;
     }
@@ -403,7 +453,7 @@
         co_return false;
     }
     if (begun.value().failure) {
-        note_problem(work, member, *begun.value().failure);
+        note_problem(work, member, *begun.value().failure, begun.value().log_position);
         if (begun.value().phase == session_phase::idle) {
             connection.give_back();
         }
--- a/src/libpapayabridge/session/statement_runner.hpp
+++ b/src/libpapayabridge/session/statement_runner.hpp
@@ -115,7 +115,8 @@
                                                 session_transaction& transaction,
                                                 result<statement_answer> answer);
     statement_answer refused(attempt& work) const;
-    void note_problem(attempt& work, const member_id& member, const error& problem);
+    void note_problem(attempt& work, const member_id& member, const error& problem,
+                      std::optional<position> reached = {});
     void sample(const attempt& work, position_samples::time sent,
                 const statement_answer& answer);
 
--- a/src/papayakeeper/keeper_control.cpp
+++ b/src/papayakeeper/keeper_control.cpp
@@ -28,6 +28,11 @@
 keeper_control::publish(published_configuration configuration)
 {
     auto version = std::to_string(configuration.version.value());
+    const auto& held = replicated_.applied().state().pool().configuration();
+    if (configuration.version <= held.version) {
+        // What is applied was accepted by a majority and cannot be lost.
+        co_return success();
+    }
     command change = publish_configuration{.configuration = std::move(configuration)};
     auto published = co_await propose(std::move(change));
     log_change("configuration_sent",
--- a/src/papayakeeper/promotion_duty.cpp
+++ b/src/papayakeeper/promotion_duty.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds look_pause{25};
 // A member that is alive answers within this time across regions, slots busy or not.
 constexpr std::chrono::milliseconds reach_timeout{500};
+// An answer from another region takes a tenth of it.
+constexpr std::chrono::milliseconds probe_timeout{300};
 // Between two attempts at the same service.
 constexpr std::chrono::milliseconds attempt_rest{150};
 constexpr std::chrono::milliseconds propose_timeout{1500};
@@ -215,26 +217,31 @@
     const auto* primary = pool.member(service.primary);
     bool planned = !service.pending && primary != nullptr && primary->leaving;
     bool go = service.pending || planned || primary == nullptr;
+    member_id silent;
     if (!go) {
-        go = co_await is_confirmed_lost(name, service.primary);
+        go = co_await is_confirmed_lost(name, service.primary, silent);
     }
     if (go && leads()) {
-        co_await attempt(name, std::move(reason), planned);
+        co_await attempt(name, std::move(reason), planned, silent);
     }
     busy_.erase(name);
     rest_until_[name] = steady_clock::now() + attempt_rest;
 }
 
-net::awaitable<bool> promotion_duty::is_confirmed_lost(service_name name,
-                                                       member_id primary)
+// Sets \p silent to a primary that did not answer, so that it is not waited for again.
+net::awaitable<bool>
+promotion_duty::is_confirmed_lost(service_name name, member_id primary, member_id& silent)
 {
     const auto* member = replicated_.applied().state().pool().member(primary);
     if (member == nullptr) {
         co_return true;
     }
     member_contact contact(executor_, codec_, *member);
-    co_await contact.reach(steady_clock::now() + reach_timeout);
+    co_await contact.reach(steady_clock::now() + probe_timeout);
     const auto& report = contact.report();
+    if (!report.status && !contact.is_open()) {
+        silent = primary;
+    }
     auto probe = probe_outcome::silent;
     if (report.status) {
         probe = report.status->is_primary ? probe_outcome::leads : probe_outcome::answers;
@@ -286,15 +293,18 @@
     }
 }
 
-net::awaitable<promotion_duty::contacts> promotion_duty::reach_members(service_name name)
+net::awaitable<promotion_duty::contacts> promotion_duty::reach_members(service_name name,
+                                                                       member_id without)
 {
     contacts all;
     for (const auto* member : replicated_.applied().state().pool().members_of(name)) {
         all.push_back(std::make_unique<member_contact>(executor_, codec_, *member));
     }
     auto deadline = steady_clock::now() + reach_timeout;
-    contact_step reach = [deadline](member_contact& one) -> net::awaitable<void> {
-        co_await one.reach(deadline);
+    contact_step reach = [=](member_contact& one) -> net::awaitable<void> {
+        if (one.report().run.id != without) {
+            co_await one.reach(deadline);
+        }
     };
     co_await on_each(all, std::move(reach));
     co_return all;
@@ -397,7 +407,7 @@
 }
 
 net::awaitable<void> promotion_duty::attempt(service_name name, std::string reason,
-                                             bool planned)
+                                             bool planned, member_id silent)
 {
     log_change("promotion_begun", {{"service", name.str()}, {"reason", reason}});
     command beginning = begin_promotion{.service = name, .reason = reason};
@@ -406,7 +416,7 @@
         co_return;
     }
     auto token = begun.value();
-    auto all = co_await reach_members(name);
+    auto all = co_await reach_members(name, silent);
     auto question = question_of(name, all);
     auto leading = leading_member(question.members);
     member_id target;
@@ -514,7 +524,8 @@
 net::awaitable<void> promotion_duty::check_coverage(service_name name)
 {
     auto gone = departures_[name].uncovered;
-    auto all = co_await reach_members(name);
+    member_id nobody;
+    auto all = co_await reach_members(name, nobody);
     auto question = question_of(name, all);
     const member_status* primary = nullptr;
     for (const auto& member : question.members) {
--- a/src/papayakeeper/promotion_duty.hpp
+++ b/src/papayakeeper/promotion_duty.hpp
@@ -53,9 +53,11 @@
     unsigned copies_of(const service_name& name);
 
     net::awaitable<void> act(service_name name, std::string reason);
-    net::awaitable<bool> is_confirmed_lost(service_name name, member_id primary);
-    net::awaitable<void> attempt(service_name name, std::string reason, bool planned);
-    net::awaitable<contacts> reach_members(service_name name);
+    net::awaitable<bool> is_confirmed_lost(service_name name, member_id primary,
+                                           member_id& silent);
+    net::awaitable<void> attempt(service_name name, std::string reason, bool planned,
+                                 member_id silent);
+    net::awaitable<contacts> reach_members(service_name name, member_id without);
     net::awaitable<void> on_each(contacts& all, contact_step step);
     net::awaitable<void> stop_receiving(contacts& all, member_id primary,
                                         member_id target);
