Fast recovery after all power is lost

Ruled out: the start of the processes (15 ms of processor time), elections (100 ms). Change: connections between processes are given up after 250 ms; a watcher that is far behind gets the state (and 64 commands are kept in place of 4096, which bounds memory); connections that are unused for 3 s are closed.

--- a/src/libpapayabridge/rpc/rpc_client.cpp
+++ b/src/libpapayabridge/rpc/rpc_client.cpp
@@ -15,7 +15,9 @@
 
 constexpr auto use_tuple = net::as_tuple(net::use_awaitable);
 constexpr unsigned deepest_result = 64;
-constexpr std::chrono::milliseconds connect_timeout{1000};
+// Several round trips between regions. A peer without power does not refuse, and the
+// opening packet would be sent again only after a second.
+constexpr std::chrono::milliseconds connect_timeout{250};
 // A connection on which calls wait is given up if it is silent for so long.
 constexpr std::chrono::milliseconds longest_silence{3000};
 
--- a/src/libpapayabridge/session/member_connection.hpp
+++ b/src/libpapayabridge/session/member_connection.hpp
@@ -40,6 +40,8 @@
 
     const member_address& address() const noexcept { return address_; }
     connection_contents contents;
+    /// When it was last given back.
+    time_point idle_since;
 
 private:
     member_connection(net::any_io_executor executor, const member_codec& codec,
--- a/src/libpapayabridge/session/member_pool.cpp
+++ b/src/libpapayabridge/session/member_pool.cpp
@@ -14,6 +14,9 @@
 constexpr std::chrono::milliseconds avoid_for{150};
 // A member that refused more connections is asked for one again after so long.
 constexpr std::chrono::milliseconds full_for{250};
+// An idle connection is closed after so long; a member forgets those of a machine without
+// power after three seconds.
+constexpr std::chrono::milliseconds unused_for{3000};
 // A part of each member's connections is left to keepers and to entries that join.
 constexpr unsigned spare_connections = 2;
 
@@ -249,6 +252,7 @@
     }
     auto next = best_waiter(member);
     if (next == waiters_.end()) {
+        connection->idle_since = steady_clock::now();
         one->idle.push_back(std::move(connection));
         return;
     }
@@ -302,6 +306,19 @@
     }
 }
 
+// What an entry keeps open without need is missing where another one starts while the
+// member still counts the connections of its last run.
+void member_pool::close_unused()
+{
+    auto limit = steady_clock::now() - unused_for;
+    for (auto& [id, one] : slots_) {
+        while (!one.idle.empty() && one.idle.front()->idle_since < limit) {
+            one.idle.erase(one.idle.begin());
+            --one.open;
+        }
+    }
+}
+
 std::size_t member_pool::open_connections() const
 {
     std::size_t count = 0;
--- a/src/libpapayabridge/session/member_pool.hpp
+++ b/src/libpapayabridge/session/member_pool.hpp
@@ -95,6 +95,9 @@
     /// The member could not be reached or did not answer.
     void note_failure(const member_id& member, bool wrote);
 
+    /// Closes connections that were not used for a while.
+    void close_unused();
+
     std::size_t open_connections() const;
     std::size_t waiting() const noexcept { return waiters_.size(); }
 
@@ -106,6 +109,7 @@
         member_address address;
         member_run run;
         bool gone = false;
+        // Used last at the end.
         std::vector<std::unique_ptr<member_connection>> idle;
         unsigned open = 0;
         unsigned most = 1;
--- a/src/libpapayabridge/session/session_entry.cpp
+++ b/src/libpapayabridge/session/session_entry.cpp
@@ -252,6 +252,7 @@
 {
     while (true) {
         auto view = services_.view;
+        pool_.close_unused();
         for (const auto& [name, service] : view->services) {
             for (const auto& member : service.members) {
                 look_at(name, member.run.id, member.run.id == service.primary);
--- a/src/papayakeeper/applied_state.cpp
+++ b/src/papayakeeper/applied_state.cpp
@@ -8,8 +8,11 @@
 
 namespace {
 
-constexpr std::size_t commands_kept = 4096;
-constexpr std::size_t commands_per_update = 256;
+// Bounds memory: a command may hold a whole configuration.
+constexpr std::size_t commands_kept = 64;
+// A watcher that is further behind gets the state itself, which has one configuration
+// where the commands have many.
+constexpr std::ptrdiff_t most_commands_behind = 16;
 
 } // namespace
 
@@ -49,20 +52,15 @@
 {
     watch_update update;
     update.applied = state_.applied();
-    if (from < kept_after_ || from > update.applied) {
-        update.snapshot = state_;
-        return update;
-    }
     auto next = std::upper_bound(
         recent_.begin(), recent_.end(), from,
         [](control_index held, const indexed_command& one) { return held < one.index; });
-    while (next != recent_.end() && update.commands.size() < commands_per_update) {
-        update.commands.push_back(*next);
-        ++next;
-    }
-    if (next != recent_.end()) {
-        update.applied = update.commands.back().index;
+    bool is_far = recent_.end() - next > most_commands_behind;
+    if (from < kept_after_ || from > update.applied || is_far) {
+        update.snapshot = state_;
+        return update;
     }
+    update.commands.assign(next, recent_.end());
     return update;
 }
 
--- a/src/papayakeeper/replicator.cpp
+++ b/src/papayakeeper/replicator.cpp
@@ -17,7 +17,7 @@
 constexpr std::chrono::milliseconds clock_period{20};
 constexpr std::chrono::milliseconds hand_over_patience{600};
 // Entries kept in memory before a snapshot, for followers that are a little behind.
-constexpr std::uint64_t entries_kept = 500;
+constexpr std::uint64_t entries_kept = 100;
 
 std::uint64_t random_number()
 {
