--- a/src/libpapayabridge/core/pool_codec.cpp
+++ b/src/libpapayabridge/core/pool_codec.cpp
@@ -1,5 +1,7 @@
 #include "pool_codec.hpp"
 
+#include "packed_text.hpp"
+
 #include <papayabridge/json.hpp>
 
 namespace papayabridge {
@@ -84,6 +86,17 @@
     return service;
 }
 
+// A text that cannot be read leaves version 0, which never takes effect.
+published_configuration configuration_from(const Json::Value& value)
+{
+    auto text = unpack_text(text_of(value, "packed"));
+    if (!text) {
+        return {};
+    }
+    return {.version = config_version(number_of(value, "version")),
+            .text = std::move(text.value())};
+}
+
 Json::Value named(const char* command)
 {
     Json::Value value;
@@ -115,7 +128,7 @@
 {
     auto value = named("publish_configuration");
     value["version"] = number(change.configuration.version.value());
-    value["text"] = change.configuration.text;
+    value["packed"] = pack_text(change.configuration.text);
     return value;
 }
 
@@ -174,8 +187,7 @@
 
 publish_configuration publish_configuration_from(const Json::Value& value)
 {
-    return {.configuration = {.version = config_version(number_of(value, "version")),
-                              .text = text_of(value, "text")}};
+    return {.configuration = configuration_from(value)};
 }
 
 register_keeper register_keeper_from(const Json::Value& value)
@@ -217,7 +229,7 @@
 {
     Json::Value value;
     value["version"] = number(configuration_.version.value());
-    value["text"] = configuration_.text;
+    value["packed"] = pack_text(configuration_.text);
     value["keepers"] = Json::Value(Json::arrayValue);
     for (const auto& [id, place] : keepers_) {
         value["keepers"].append(to_value(place));
@@ -243,8 +255,7 @@
     if (!value.isObject()) {
         return state;
     }
-    state.configuration_ = {.version = config_version(number_of(value, "version")),
-                            .text = text_of(value, "text")};
+    state.configuration_ = configuration_from(value);
     for (const auto& item : value["keepers"]) {
         auto place = place_from(item);
         state.keepers_[place.id] = place;
