--- /dev/null
+++ b/src/libpapayabridge/core/session_setup_test.cpp
@@ -0,0 +1,78 @@
+#include "session_setup.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace papayabridge {
+
+namespace {
+
+using values = std::map<std::string, std::string>;
+
+// Does at a connection what the plan says.
+connection_contents carry_out(connection_contents held, const connection_setup& setup)
+{
+    if (setup.reset) {
+        held = {};
+    }
+    for (const auto& [name, value] : setup.values) {
+        held.values[name] = value;
+    }
+    if (setup.prepare) {
+        held.prepared[*setup.prepare] = setup.prepared_name;
+    }
+    return held;
+}
+
+} // namespace
+
+TEST(session_setup, nothing_is_sent_where_all_fits)
+{
+    connection_contents held{.values = {{"a", "1"}}};
+    session_values session{.values = {{"a", "1"}}};
+    EXPECT_EQ(plan_setup(held, session, std::nullopt).steps(), 0U);
+    EXPECT_TRUE(fits(held, session));
+}
+
+TEST(session_setup, a_value_of_another_session_is_cleared)
+{
+    connection_contents held{.values = {{"a", "1"}, {"b", "2"}}};
+    auto setup = plan_setup(held, {.values = {{"a", "1"}}}, std::nullopt);
+    EXPECT_TRUE(setup.reset);
+    EXPECT_EQ(setup.after.values, (values{{"a", "1"}}));
+}
+
+TEST(session_setup, a_shape_is_prepared_once_and_shared)
+{
+    prepared_shape shape{.writes = true, .shape = "q2c"};
+    auto first = plan_setup({}, {}, shape);
+    EXPECT_TRUE(first.prepare);
+    auto second = plan_setup(first.after, {}, shape);
+    EXPECT_FALSE(second.prepare);
+    EXPECT_EQ(second.prepared_name, first.prepared_name);
+    auto other = plan_setup(first.after, {}, prepared_shape{.shape = "q2c"});
+    EXPECT_NE(other.prepared_name, first.prepared_name);
+}
+
+RC_GTEST_PROP(session_setup, any_sequence_of_sessions_finds_its_own_values,
+              (const std::vector<values>& sessions,
+               const std::vector<std::string>& shapes))
+{
+    connection_contents held;
+    for (std::size_t i = 0; i < sessions.size(); ++i) {
+        std::optional<prepared_shape> needed;
+        if (!shapes.empty() && i % 2 == 0) {
+            needed = prepared_shape{.shape = shapes[i % shapes.size()]};
+        }
+        auto setup = plan_setup(held, {.values = sessions[i]}, needed);
+        held = carry_out(held, setup);
+        RC_ASSERT(held.values == sessions[i]);
+        RC_ASSERT(setup.after.values == held.values);
+        if (needed) {
+            RC_ASSERT(held.prepared.at(*needed) == setup.prepared_name);
+        }
+        held = setup.after;
+    }
+}
+
+} // namespace papayabridge
