An entry that starts obeys nothing before the newest configuration

Ruled out: a lost configuration (101 was on every disk and in force after the election). Change: the first watch asks the keeper to confirm by a barrier that it holds the newest state, and an entry publishes nothing before, for 3 s at most.

--- a/src/include/papayabridge/keeper_client.hpp
+++ b/src/include/papayabridge/keeper_client.hpp
@@ -37,6 +37,8 @@
     std::optional<control_state> snapshot;
     /// Whether the keeper hears a leader.
     bool leader_known = false;
+    /// Whether it holds all that was accepted before the call; only if that was asked.
+    bool is_newest = false;
 };
 
 /// One keeper as another one sees it.
@@ -87,10 +89,12 @@
     net::awaitable<result<command_outcome>> propose(command change, time_point deadline);
 
     /// What follows \p from, waiting up to \p wait for more. With an entry's id it is
-    /// also the heartbeat of that entry. Errors are those of the last keeper asked.
+    /// also the heartbeat of that entry. With \p confirm the keeper first makes sure that
+    /// it holds the newest state, if it can. Errors are those of the last keeper asked.
     net::awaitable<result<watch_update>> watch(control_index from,
                                                std::chrono::milliseconds wait,
-                                               const entry_identity& entry);
+                                               const entry_identity& entry,
+                                               bool confirm = false);
 
     /// The status of the keeper at \p keeper.
     net::awaitable<result<keeper_status>> status(tcp::endpoint keeper);
--- a/src/libpapayabridge/net/keeper_client.cpp
+++ b/src/libpapayabridge/net/keeper_client.cpp
@@ -128,7 +128,8 @@
 
 net::awaitable<result<watch_update>> keeper_client::watch(control_index from,
                                                           std::chrono::milliseconds wait,
-                                                          const entry_identity& entry)
+                                                          const entry_identity& entry,
+                                                          bool confirm)
 {
     if (keepers_.empty()) {
         co_return fail(error_kind::unreachable, "no keeper is known");
@@ -138,6 +139,7 @@
     request.body["wait_ms"] = Json::UInt64(wait.count());
     request.body["entry"] = entry.id.str();
     request.body["incarnation"] = Json::UInt64(entry.incarnation);
+    request.body["confirm"] = confirm;
     auto& client = clients_->to(preferred());
     auto deadline = steady_clock::now() + wait + watch_grace;
     auto answer = co_await client.call("keeper.watch", std::move(request), deadline);
--- a/src/libpapayabridge/net/keeper_messages.cpp
+++ b/src/libpapayabridge/net/keeper_messages.cpp
@@ -63,6 +63,7 @@
     Json::Value value;
     value["applied"] = Json::UInt64(update.applied.value());
     value["leader_known"] = update.leader_known;
+    value["newest"] = update.is_newest;
     if (update.snapshot) {
         value["snapshot"] = update.snapshot->snapshot();
         return value;
@@ -85,6 +86,7 @@
     watch_update update;
     update.applied = control_index(number_of(value, "applied"));
     update.leader_known = flag_of(value, "leader_known");
+    update.is_newest = flag_of(value, "newest");
     if (value["snapshot"].isObject()) {
         auto state = control_state::from_snapshot(value["snapshot"]);
         if (!state) {
--- a/src/libpapayabridge/session/session_entry.cpp
+++ b/src/libpapayabridge/session/session_entry.cpp
@@ -14,6 +14,8 @@
 constexpr auto use_tuple = net::as_tuple(net::use_awaitable);
 constexpr std::chrono::milliseconds watch_wait{1000};
 constexpr std::chrono::milliseconds watch_retry{60};
+// Without a majority of the keepers for so long an entry serves what it is given.
+constexpr std::chrono::milliseconds confirmation_wait{3000};
 constexpr std::chrono::milliseconds propose_timeout{2000};
 // While a primary cannot be used, the keepers hear of it so often.
 constexpr std::chrono::milliseconds trouble_period{150};
@@ -83,6 +85,7 @@
 
 result<void> session_entry::start()
 {
+    started_ = steady_clock::now();
     boost::system::error_code failed;
     acceptor_.open(settings_.callers.protocol(), failed);
     if (!failed) {
@@ -158,7 +161,8 @@
     entry_identity self{.id = settings_.id, .incarnation = incarnation_};
     bool in_touch = false;
     while (true) {
-        auto update = co_await keepers_.watch(state_.applied(), watch_wait, self);
+        auto from = confirmed_ ? state_.applied() : control_index();
+        auto update = co_await keepers_.watch(from, watch_wait, self, !confirmed_);
         if (update) {
             take_update(std::move(update.value()));
         } else {
@@ -179,6 +183,13 @@
 void session_entry::take_update(watch_update update)
 {
     bool changed = update.snapshot.has_value() || !update.commands.empty();
+    // A keeper that has just started may know an older configuration than this entry
+    // obeyed before its own start.
+    bool waited = steady_clock::now() - started_ > confirmation_wait;
+    confirmed_ = confirmed_ || update.is_newest || waited;
+    if (!confirmed_) {
+        return;
+    }
     if (update.snapshot) {
         state_ = std::move(*update.snapshot);
     }
--- a/src/libpapayabridge/session/session_entry.hpp
+++ b/src/libpapayabridge/session/session_entry.hpp
@@ -64,6 +64,9 @@
     control_state state_;
     pooled_configuration configuration_;
     std::uint64_t incarnation_;
+    time_point started_;
+    /// Whether the state was the newest once in this run.
+    bool confirmed_ = false;
     bool ready_ = false;
     bool stopping_ = false;
     bool registering_ = false;
--- a/src/libpapayabridge/tools/reload_watch.cpp
+++ b/src/libpapayabridge/tools/reload_watch.cpp
@@ -13,10 +13,9 @@
 
 } // namespace
 
-reload_watch::reload_watch(boost::asio::any_io_executor executor, std::string file,
+reload_watch::reload_watch(const boost::asio::any_io_executor& executor, std::string file,
                            taker take)
-    : timer_(std::move(executor)), file_(std::move(file)), take_(std::move(take)),
-      seen_(mark())
+    : timer_(executor), file_(std::move(file)), take_(std::move(take)), seen_(mark())
 {
 }
 
--- a/src/libpapayabridge/tools/reload_watch.hpp
+++ b/src/libpapayabridge/tools/reload_watch.hpp
@@ -18,7 +18,8 @@
     /// Takes over what it can of a document, and leaves problems in it.
     using taker = std::function<void(settings_document&)>;
 
-    reload_watch(boost::asio::any_io_executor executor, std::string file, taker take);
+    reload_watch(const boost::asio::any_io_executor& executor, std::string file,
+                 taker take);
 
     /// Begins to look at the file.
     void start();
--- a/src/papayakeeper/keeper_service.cpp
+++ b/src/papayakeeper/keeper_service.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds propose_timeout{1400};
+constexpr std::chrono::milliseconds confirm_timeout{700};
 constexpr std::uint64_t longest_wait_ms = 30'000;
 constexpr std::chrono::milliseconds leaderless_wait{50};
 constexpr int watches_per_timeout = 3;
@@ -90,6 +91,12 @@
         // The next watch is the next heartbeat.
         wait = std::min(wait, settings_.entry_timeout / watches_per_timeout);
     }
+    bool is_newest = false;
+    if (flag_of(request.body, "confirm")) {
+        auto confirmed =
+            co_await replicated_.confirm_newest(steady_clock::now() + confirm_timeout);
+        is_newest = bool(confirmed);
+    }
     auto& applied = replicated_.applied();
     auto deadline = steady_clock::now() + wait;
     if (!replicated_.leader_known()) {
@@ -99,6 +106,7 @@
     co_await applied.wait_beyond(from, deadline);
     auto update = applied.since(from);
     update.leader_known = replicated_.leader_known();
+    update.is_newest = is_newest;
     rpc_message answer;
     answer.body = to_value(update);
     co_return answer;
--- a/testsuite/keepers-by-seeds/run.py
+++ b/testsuite/keepers-by-seeds/run.py
@@ -112,6 +112,33 @@
         history.violation("other", f"{what}: not all give version {version}")
 
 
+def watched_version(answer):
+    """The version of the configuration in an answer to keeper.watch from the start."""
+    if "snapshot" in answer:
+        return answer["snapshot"]["pool"]["version"]
+    published = [one["command"]["version"] for one in answer["commands"]
+                 if one["command"]["do"] == "publish_configuration"]
+    return max(published, default=0)
+
+
+def wait_for_newest(history, keeper, version):
+    """A watch from the start says that it is the newest state only where it is."""
+    question = {"from": 0, "wait_ms": 0, "confirm": True}
+    end = time.monotonic() + SETTLE_SECONDS
+    while time.monotonic() < end:
+        try:
+            answer = rpc.rpc_call(keeper.rpc(), FLEET_KEY, "keeper.watch", question)
+        except (OSError, rpc.RpcError):
+            time.sleep(0.02)
+            continue
+        if answer["newest"]:
+            given = watched_version(answer)
+            if given != version:
+                history.violation("other", f"version {given} is called the newest")
+            return
+    history.violation("other", "no watch gives the newest state")
+
+
 def wait_for_voters(history, keepers, expected, what):
     end = time.monotonic() + SETTLE_SECONDS
     seen = None
@@ -158,6 +185,7 @@
         keeper.kill()
     for keeper in left:
         keeper.start()
+    wait_for_newest(history, left[0], 12)
     holds_everywhere(history, left, 12, "all killed")
 
 
