--- a/src/libpapayabridge/session/session_entry.cpp
+++ b/src/libpapayabridge/session/session_entry.cpp
@@ -245,6 +245,7 @@
     }
     std::sort(places.begin(), places.end());
     std::vector<tcp::endpoint> keepers;
+    keepers.reserve(places.size() + settings_.seeds.size());
     for (const auto& [distance, endpoint] : places) {
         keepers.push_back(endpoint);
     }
