Promotion attempts and exchanges with members have files of their own

Cause: promotion_duty.cpp (555 lines) and statement_runner.cpp (546) did two jobs each. Change: promotion_attempt.cpp (from the token to the new primary), statement_exchange.cpp (setup, exchange, rollback), elapsed.hpp; functions moved unchanged.

--- /dev/null
+++ b/src/papayakeeper/elapsed.hpp
@@ -0,0 +1,24 @@
+/// \file elapsed.hpp
+/// Times as log lines tell them.
+
+#pragma once
+
+#include <papayabridge/links.hpp>
+#include <string>
+
+namespace papayabridge {
+
+/// "250 ms".
+inline std::string text_of(std::chrono::milliseconds time)
+{
+    return std::to_string(time.count()) + " ms";
+}
+
+/// Time since \p then.
+inline std::chrono::milliseconds since(time_point then)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(steady_clock::now() -
+                                                                 then);
+}
+
+} // namespace papayabridge
