Members are admitted to majorities by the keepers

The third had announced itself but never caught up, so it says "complete": false; after the loss of one founder's disk only one complete member was left, and a new term asked for two of three.

Change: founders are recorded with the first term, others are admitted when they announce that they hold all the primary held, never while a term is intended. Leases and acknowledged writes count admitted members only; a new term needs as many of them as make it meet every set that could have acknowledged a write.

Tests: control_state (five, one a property).

--- a/src/include/papayabridge/control_state.hpp
+++ b/src/include/papayabridge/control_state.hpp
@@ -14,6 +14,7 @@
 #include <papayabridge/error.hpp>
 #include <papayabridge/ids.hpp>
 #include <papayabridge/pool_state.hpp>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -67,6 +68,10 @@
     member_condition condition = member_condition::serving;
     /// The entry that holds its connections and queue; empty if no entry can.
     entry_id gate;
+    /// Whether it counts towards majorities: it took part in the founding, or told since
+    /// then that it holds all that the primary held. Never taken back. In an
+    /// announcement: whether the member says so.
+    bool admitted = false;
 };
 
 /// Why a database moves to a higher term.
@@ -100,6 +105,9 @@
     database_key key;
     /// Members that the group has, announced or not; a majority is counted from it.
     unsigned group_size = 1;
+    /// Each acknowledged write was held by so many admitted members; 0 before the
+    /// founding.
+    std::size_t copies = 0;
     /// Published term; 0 before the first primary.
     papayabridge::term term;
     member_id primary;
@@ -108,6 +116,9 @@
 
     /// The highest term that was given out.
     papayabridge::term highest_term() const;
+    /// How many admitted members that hold their data must accept a new term, so that one
+    /// of them holds any acknowledged write. Before the founding: of any members.
+    std::size_t needed_for_a_term() const;
     /// The gate of the primary; empty if there is none.
     entry_id primary_gate() const;
 };
@@ -175,6 +186,8 @@
     database_key database;
     papayabridge::term term;
     member_id primary;
+    /// At the founding, the members that took part; if empty, all that are known.
+    std::set<member_id> founders;
 };
 
 /// Any command.
@@ -264,6 +277,8 @@
     bool has_better_gate(const database_record& database) const;
     void place_gates(database_record& database);
     void form_if_complete(database_record& database);
+    static void record_founders(database_record& database,
+                                const std::set<member_id>& founders);
 
     control_index applied_;
     configuration_record configuration_;
--- a/src/libpapayabridge/core/control_codec.cpp
+++ b/src/libpapayabridge/core/control_codec.cpp
@@ -76,6 +76,7 @@
     value["connections"] = member.connections;
     value["condition"] = std::string(to_string(member.condition));
     value["gate"] = member.gate.str();
+    value["admitted"] = member.admitted;
     return value;
 }
 
@@ -91,6 +92,8 @@
     member.condition =
         enum_of<member_condition>(member_conditions, text_of(value, "condition"));
     member.gate = entry_id(text_of(value, "gate"));
+    // Earlier versions counted every member.
+    member.admitted = !value.isMember("admitted") || flag_of(value, "admitted");
     return member;
 }
 
@@ -126,6 +129,7 @@
     Json::Value value;
     value["database"] = database.key.str();
     value["group_size"] = database.group_size;
+    value["copies"] = number(database.copies);
     value["term"] = number(database.term.value());
     value["primary"] = database.primary.str();
     value["members"] = Json::Value(Json::arrayValue);
@@ -144,6 +148,9 @@
     database.key = key_of(value);
     database.group_size = static_cast<unsigned>(number_of(value, "group_size", 1));
     database.term = term(number_of(value, "term"));
+    // Earlier versions did not keep it.
+    std::size_t copies = database.term == term() ? 0 : majority_of(database.group_size);
+    database.copies = number_of(value, "copies", copies);
     database.primary = member_id(text_of(value, "primary"));
     for (const auto& item : value["members"]) {
         auto member = member_from(item);
@@ -213,6 +220,9 @@
     value["database"] = change.database.str();
     value["term"] = number(change.term.value());
     value["primary"] = change.primary.str();
+    for (const auto& founder : change.founders) {
+        value["founders"].append(founder.str());
+    }
     return value;
 }
 
@@ -257,9 +267,13 @@
 
 command decode_complete_transition(const Json::Value& value)
 {
-    return complete_transition{.database = key_of(value),
+    complete_transition change{.database = key_of(value),
                                .term = term(number_of(value, "term")),
                                .primary = member_id(text_of(value, "primary"))};
+    for (const auto& founder : value["founders"]) {
+        change.founders.insert(member_id(founder.asString()));
+    }
+    return change;
 }
 
 template <auto Decode>
--- a/src/libpapayabridge/core/control_state.cpp
+++ b/src/libpapayabridge/core/control_state.cpp
@@ -31,6 +31,19 @@
     return next ? std::max(term, next->term) : term;
 }
 
+// Majorities are counted among admitted members only. Those that did not accept the new
+// term are then fewer than any acknowledged write has copies.
+std::size_t database_record::needed_for_a_term() const
+{
+    if (copies == 0) {
+        return majority_of(group_size);
+    }
+    auto admitted = static_cast<std::size_t>(
+        std::count_if(members.begin(), members.end(),
+                      [](const auto& one) { return one.second.admitted; }));
+    return admitted + 1 - std::min(admitted, copies);
+}
+
 entry_id database_record::primary_gate() const
 {
     auto found = members.find(primary);
@@ -138,7 +151,11 @@
     bool leaves = member.condition == member_condition::serving &&
                   change.member.condition == member_condition::leaving;
     auto gate = member.gate;
+    // The driver of an open transition counts those that were admitted when it began.
+    bool admitted = member.admitted ||
+                    (change.member.admitted && is_formed(database) && !database.next);
     member = change.member;
+    member.admitted = admitted;
     member.gate = gate.empty() ? choose_gate(member) : gate;
     form_if_complete(database);
     if (is_formed(database) && leaves && database.primary == member.id) {
@@ -182,6 +199,9 @@
     if (primary == database.members.end()) {
         return refused(error_kind::not_found, "no member " + change.primary.str());
     }
+    if (!is_formed(database)) {
+        record_founders(database, change.founders);
+    }
     database.term = change.term;
     database.primary = change.primary;
     for (const auto& [member, gate] : database.next->gates) {
@@ -197,6 +217,15 @@
     return {};
 }
 
+void control_state::record_founders(database_record& database,
+                                    const std::set<member_id>& founders)
+{
+    database.copies = majority_of(database.group_size);
+    for (auto& [id, member] : database.members) {
+        member.admitted = founders.empty() || founders.count(id) != 0;
+    }
+}
+
 bool control_state::takes_work(const entry_id& id) const
 {
     const auto* found = entry(id);
--- a/src/libpapayabridge/core/control_state_test.cpp
+++ b/src/libpapayabridge/core/control_state_test.cpp
@@ -50,6 +50,14 @@
         return apply(announce_member{.database = key, .group_size = 3, .member = member});
     }
 
+    // A member tells that it holds all that the primary held.
+    command_outcome announce_complete(const std::string& id)
+    {
+        member_record member{.id = member_id(id), .domain = domain_name(id.substr(0, 1))};
+        member.admitted = true;
+        return apply(announce_member{.database = key, .group_size = 3, .member = member});
+    }
+
     command_outcome complete(const std::string& primary)
     {
         return apply(complete_transition{.database = key,
@@ -381,4 +389,88 @@
     RC_ASSERT(to_json(copy.value().snapshot()) == to_json(state.snapshot()));
 }
 
+namespace {
+
+// Members "am" and "bm" found the database; "cm" is known, but took no part.
+fleet_model founded_by_two()
+{
+    fleet_model fleet;
+    for (const auto* entry : {"a1", "a2", "b1", "c1"}) {
+        fleet.start(entry);
+    }
+    for (const auto* member : {"am", "bm", "cm"}) {
+        fleet.announce(member);
+    }
+    fleet.apply(complete_transition{.database = fleet.key,
+                                    .term = fleet.database().highest_term(),
+                                    .primary = member_id("am"),
+                                    .founders = {member_id("am"), member_id("bm")}});
+    return fleet;
+}
+
+} // namespace
+
+TEST(control_state, one_of_two_founders_holds_what_both_acknowledged)
+{
+    auto fleet = founded_by_two();
+    EXPECT_FALSE(fleet.database().members.at(member_id("cm")).admitted);
+    EXPECT_EQ(fleet.database().needed_for_a_term(), 1u);
+}
+
+TEST(control_state, a_member_that_caught_up_is_admitted_and_stays_so)
+{
+    auto fleet = founded_by_two();
+    fleet.announce_complete("cm");
+    EXPECT_EQ(fleet.database().needed_for_a_term(), 2u);
+    fleet.announce("cm");
+    EXPECT_TRUE(fleet.database().members.at(member_id("cm")).admitted);
+}
+
+TEST(control_state, nobody_is_admitted_while_a_term_is_intended)
+{
+    auto fleet = founded_by_two();
+    fleet.apply(begin_transition{.database = fleet.key,
+                                 .base = fleet.database().highest_term(),
+                                 .reason = transition_reason::primary_lost});
+    fleet.announce_complete("cm");
+    EXPECT_FALSE(fleet.database().members.at(member_id("cm")).admitted);
+    fleet.complete("bm");
+    fleet.announce_complete("cm");
+    EXPECT_TRUE(fleet.database().members.at(member_id("cm")).admitted);
+}
+
+TEST(control_state, a_snapshot_without_admissions_counts_every_member)
+{
+    auto fleet = founded_by_two();
+    auto value = fleet.state.snapshot();
+    for (auto& database : value["databases"]) {
+        database.removeMember("copies");
+        for (auto& member : database["members"]) {
+            member.removeMember("admitted");
+        }
+    }
+    auto old = control_state::from_snapshot(value);
+    ASSERT_TRUE(old);
+    EXPECT_EQ(old.value().database(fleet.key)->needed_for_a_term(), 2u);
+}
+
+// Whoever is admitted when, a write that so many admitted members held is at one of
+// those that accept the next term.
+RC_GTEST_PROP(control_state, each_new_term_meets_every_acknowledged_write, ())
+{
+    const auto group = *rc::gen::inRange<unsigned>(1, 8);
+    const auto copies = majority_of(group);
+    const auto at_write = *rc::gen::inRange<std::size_t>(copies, group + 1);
+    const auto at_fence = *rc::gen::inRange<std::size_t>(at_write, group + 1);
+    database_record record;
+    record.group_size = group;
+    record.copies = copies;
+    for (std::size_t i = 0; i < group; ++i) {
+        record.members[member_id("m" + std::to_string(i))].admitted = i < at_fence;
+    }
+    RC_ASSERT(record.needed_for_a_term() + copies > at_fence);
+    RC_ASSERT(record.needed_for_a_term() >= 1u);
+    RC_ASSERT(record.needed_for_a_term() <= at_fence);
+}
+
 } // namespace papayabridge
--- a/src/libpapayabridge/entry/caller_service.cpp
+++ b/src/libpapayabridge/entry/caller_service.cpp
@@ -231,6 +231,7 @@
     change.member.region = region_name(text_of(body, "region"));
     change.member.slots = static_cast<unsigned>(number_of(body, "slots", 1));
     change.member.connections = static_cast<unsigned>(number_of(body, "connections", 1));
+    change.member.admitted = !body.isMember("complete") || flag_of(body, "complete");
     if (text_of(body, "condition") == "leaving") {
         change.member.condition = member_condition::leaving;
     }
--- a/src/libpapayabridge/entry/entry_process.cpp
+++ b/src/libpapayabridge/entry/entry_process.cpp
@@ -34,7 +34,8 @@
 {
     return known.endpoint == told.endpoint && known.domain == told.domain &&
            known.region == told.region && known.slots == told.slots &&
-           known.connections == told.connections && known.condition == told.condition;
+           known.connections == told.connections && known.condition == told.condition &&
+           (known.admitted || !told.admitted);
 }
 
 } // namespace
--- a/src/libpapayabridge/entry/primary_watch.cpp
+++ b/src/libpapayabridge/entry/primary_watch.cpp
@@ -105,8 +105,11 @@
         co_await order_to_follow(pool, *endpoint, at->term());
         co_return true;
     }
-    if (report.value().isMember("complete") && !flag_of(report.value(), "complete")) {
-        // It lost its data and catches up; until then it proves nothing.
+    bool complete =
+        !report.value().isMember("complete") || flag_of(report.value(), "complete");
+    if (!complete || !member.admitted) {
+        // It catches up, or the keepers have yet to admit it; until then it proves
+        // nothing.
         co_await pause_for(first_retry);
         co_return true;
     }
--- a/src/libpapayabridge/entry/transition_driver.cpp
+++ b/src/libpapayabridge/entry/transition_driver.cpp
@@ -83,10 +83,7 @@
         co_return true;
     }
     auto fenced = co_await fence(record);
-    if (record.term != term()) {
-        std::erase_if(fenced, [](const auto& member) { return !member.complete; });
-    }
-    if (fenced.size() < majority_of(record.group_size)) {
+    if (fenced.size() < record.needed_for_a_term()) {
         co_return false;
     }
     auto fenced_at = steady_clock::now();
@@ -116,6 +113,11 @@
     done.database = record.key;
     done.term = to;
     done.primary = chosen_id;
+    if (record.term == term()) {
+        for (const auto& member : fenced) {
+            done.founders.insert(member.id);
+        }
+    }
     command change = done;
     auto published =
         co_await options_.keepers->propose(change, steady_clock::now() + publish_timeout);
@@ -283,8 +285,10 @@
                                                    database_record record)
 {
     bool founding = record.term == term();
+    bool admitted = member.admitted;
     auto fenced = co_await fence_one(std::move(member), record.next->term, founding);
-    if (fenced) {
+    // One that was never admitted, or lost its data, proves nothing about past writes.
+    if (fenced && (founding || (admitted && fenced->complete))) {
         round->fenced.push_back(*fenced);
     }
     --round->open;
@@ -300,11 +304,11 @@
         net::co_spawn(executor_, fence_into(all, member, record), net::detached);
     }
     auto deadline = steady_clock::now() + call_timeout * 2;
-    // A lost member answers nothing; a majority suffices after a short wait for the rest.
+    // A lost member answers nothing; enough suffice after a short wait for the rest.
     constexpr std::chrono::milliseconds wait_for_the_rest{30};
     std::optional<time_point> enough_since;
     while (all->open > 0 && steady_clock::now() < deadline) {
-        bool enough = all->fenced.size() >= majority_of(record.group_size);
+        bool enough = all->fenced.size() >= record.needed_for_a_term();
         if (enough && !enough_since) {
             enough_since = steady_clock::now();
         }
--- a/src/papayadb/announcer.cpp
+++ b/src/papayadb/announcer.cpp
@@ -18,6 +18,7 @@
     const auto& entries = node_->settings.entries;
     while (!entries.empty()) {
         bool leaving = node_->leaving();
+        bool complete = node_->complete;
         bool told = co_await announce_to(entries[next_ % entries.size()]);
         if (!told) {
             ++next_;
@@ -25,7 +26,9 @@
             continue;
         }
         auto next = steady_clock::now() + interval;
-        while (steady_clock::now() < next && leaving == node_->leaving()) {
+        while (steady_clock::now() < next && leaving == node_->leaving() &&
+               complete == node_->complete)
+        {
             co_await node_->changed.wait(next);
         }
     }
@@ -54,6 +57,7 @@
     body["slots"] = Json::UInt64(settings.slots);
     body["connections"] = Json::UInt64(settings.connections);
     body["condition"] = node_->leaving() ? "leaving" : "serving";
+    body["complete"] = node_->complete;
     return to_json(body);
 }
 
