Structured log lines for every request, bounded and never blocking; metrics with help

Cause: an engineer with only logs could not find why a request failed: lines were written for changes of state only, by the thread that serves requests, which a full standard output stopped.

Change: a closed list of events (log.hpp, docs/LOGS.md); a queue bounded for each class, rates for each event, a thread of its own that gives batches to easylogging++; what is held back is counted and said. Statements have a line at their end and one for each failed try; entries and keepers say what they believe of members, primaries, entries, configurations. Metrics by rank, rule, outcome and member, with help and unit (docs/METRICS.md). Rates are settings.

Ruled out: a line for each step of each statement (a sample of 10 a second of the ordinary ones is kept instead); dropping lines without saying so.

Tests: log_budget, log_queue, log_pipeline (a reader that stops), log_events and metric_table (pages and sources compared both ways).

--- a/src/include/papayabridge/daemon.hpp
+++ b/src/include/papayabridge/daemon.hpp
@@ -8,14 +8,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
-#include <initializer_list>
 #include <memory>
 #include <papayabridge/error.hpp>
+#include <papayabridge/log.hpp>
 #include <papayabridge/settings.hpp>
 #include <string>
-#include <string_view>
 #include <thread>
-#include <utility>
 #include <vector>
 
 namespace papayabridge {
@@ -77,12 +75,4 @@
     std::vector<std::unique_ptr<boost::asio::io_context>> traffic_;
 };
 
-/// Starts the structured log of this process: one JSON object a line on standard output,
-/// written only for changes of state.
-void start_log(const std::string& process);
-/// Writes one line: what changed, and names with values.
-void log_change(
-    std::string_view what,
-    std::initializer_list<std::pair<std::string_view, std::string>> fields = {});
-
 } // namespace papayabridge
--- /dev/null
+++ b/src/libpapayabridge/core/log_budget.hpp
@@ -0,0 +1,48 @@
+/// \file log_budget.hpp
+/// How many lines of each event may be written a second. No input or output.
+
+#pragma once
+
+#include <array>
+#include <papayabridge/log.hpp>
+#include <vector>
+
+namespace papayabridge {
+
+/// One bucket for each event, filled at the rate of its class up to one second's worth.
+/// Not thread-safe.
+class log_budget
+{
+public:
+    using time_point = std::chrono::steady_clock::time_point;
+
+    explicit log_budget(log_rates rates = {}) : rates_(rates) {}
+
+    /// Whether a line of \p event may be written at \p now; else it is counted.
+    bool admit(log_event event, time_point now);
+    /// Counts a line that was lost for another reason.
+    void count_lost(log_event event) { ++bucket_of(event).held_back; }
+    /// The lines held back of each event since the last call.
+    std::vector<std::pair<log_event, std::uint64_t>> take_held_back();
+
+private:
+    struct bucket
+    {
+        double lines = 0;
+        time_point filled_at;
+        bool used = false;
+        std::uint64_t held_back = 0;
+    };
+
+    bucket& bucket_of(log_event event)
+    {
+        return buckets_[static_cast<std::size_t>(event)];
+    }
+    unsigned rate_of(log_event event) const;
+
+    log_rates rates_;
+    std::array<bucket, static_cast<std::size_t>(log_event::statement_answered) + 1>
+        buckets_;
+};
+
+} // namespace papayabridge
--- a/src/libpapayabridge/core/metrics.cpp
+++ b/src/libpapayabridge/core/metrics.cpp
@@ -1,3 +1,5 @@
+#include "metric_table.hpp"
+
 #include <papayabridge/metrics.hpp>
 
 #include <boost/histogram/accumulators/count.hpp>
@@ -75,6 +77,10 @@
 
 void append_type(std::string& text, const std::string& name, const char* type)
 {
+    if (const auto* row = find_metric(name); row != nullptr) {
+        text += "# HELP " + name + " " + std::string(row->help) + " (" +
+                std::string(row->unit) + ")\n";
+    }
     text += "# TYPE " + name + " " + type + "\n";
 }
 
--- a/src/libpapayabridge/entry/entry_process.cpp
+++ b/src/libpapayabridge/entry/entry_process.cpp
@@ -463,7 +463,7 @@
 {
     auto until = steady_clock::now() + settings_.drain_timeout;
     events_.record({.kind = event_kind::entry_draining, .detail = "graceful stop begun"});
-    log_change("draining");
+    log_line(log_event::process_stopping);
     co_await pause_for(unready_notice);
     auto told_until = std::min(until, steady_clock::now() + keepers_patience);
     bool told = false;
@@ -483,7 +483,7 @@
     }
     events_.record(
         {.kind = event_kind::process_stopping, .detail = "graceful stop ended"});
-    log_change("stopped");
+    log_line(log_event::process_stopped);
     co_await shards_->close();
     rpc_->stop();
     runtime_.stop();
--- a/src/libpapayabridge/entry/entry_settings.cpp
+++ b/src/libpapayabridge/entry/entry_settings.cpp
@@ -13,6 +13,7 @@
     settings.id = entry_id(root.text("id"));
     settings.domain = domain_name(root.text("domain"));
     settings.region = region_name(root.text("region"));
+    settings.log = read_log_rates(root);
     settings.http = root.endpoint("http");
     settings.rpc = root.endpoint("rpc");
     settings.data = root.text("data", "");
--- a/src/libpapayabridge/entry/entry_settings.hpp
+++ b/src/libpapayabridge/entry/entry_settings.hpp
@@ -5,6 +5,7 @@
 
 #include <papayabridge/ids.hpp>
 #include <papayabridge/links.hpp>
+#include <papayabridge/log.hpp>
 #include <papayabridge/settings.hpp>
 #include <string>
 #include <vector>
@@ -17,6 +18,7 @@
     entry_id id;
     domain_name domain;
     region_name region;
+    log_rates log;
     /// Where callers and other entries connect.
     tcp::endpoint http;
     /// Where other processes call.
--- a/src/libpapayabridge/session/caller_session.cpp
+++ b/src/libpapayabridge/session/caller_session.cpp
@@ -66,7 +66,7 @@
 
 const pooled_route* caller_session::route() const
 {
-    return services_.view->route(database_);
+    return services_.view->route(state_.database);
 }
 
 net::awaitable<result<caller_message>> caller_session::next_message()
@@ -116,33 +116,43 @@
     co_return true;
 }
 
+// Says why, and lets the connection end.
+net::awaitable<void> caller_session::refuse_session(const error& why)
+{
+    log_line(log_event::session_refused,
+             {{"database", state_.database.str()},
+              {"version", log_number(services_.view->configuration.version.value())},
+              {"kind", answer_of(why.kind).name},
+              {"detail", why.detail}});
+    services_.report.session_refused(why.kind);
+    std::string bytes;
+    services_.callers.encode_refusal(bytes, why);
+    co_await write(std::move(bytes));
+}
+
 net::awaitable<bool> caller_session::open()
 {
     auto first = co_await next_message();
     const auto* opening = first ? std::get_if<session_opening>(&first.value()) : nullptr;
-    std::string bytes;
     if (opening == nullptr) {
         if (first || first.error().kind != error_kind::unreachable) {
-            services_.callers.encode_refusal(
-                bytes,
-                fail(error_kind::bad_request, "a session begins with its opening"));
-            co_await write(std::move(bytes));
+            auto why = fail(error_kind::bad_request, "a session begins with its opening");
+            co_await refuse_session(why);
         }
         co_return false;
     }
-    database_ = opening->database;
+    state_.database = opening->database;
     if (!co_await has_configuration()) {
-        services_.callers.encode_refusal(
-            bytes, fail(error_kind::overloaded, "no configuration is known yet"));
-        co_await write(std::move(bytes));
+        auto why = fail(error_kind::overloaded, "no configuration is known yet");
+        co_await refuse_session(why);
         co_return false;
     }
     if (route() == nullptr) {
-        services_.callers.encode_refusal(
-            bytes, fail(error_kind::not_found, "no database " + database_.str()));
-        co_await write(std::move(bytes));
+        auto why = fail(error_kind::not_found, "no database " + state_.database.str());
+        co_await refuse_session(why);
         co_return false;
     }
+    std::string bytes;
     services_.callers.encode_opened(bytes);
     co_return co_await write(std::move(bytes));
 }
@@ -158,9 +168,7 @@
         auto message = co_await next_message();
         if (!message) {
             if (message.error().kind != error_kind::unreachable) {
-                std::string bytes;
-                services_.callers.encode_refusal(bytes, message.error());
-                co_await write(std::move(bytes));
+                co_await refuse_session(message.error());
             }
             break;
         }
@@ -236,8 +244,8 @@
     }
     const auto* by = route();
     if (by == nullptr) {
-        co_return failed(
-            fail(error_kind::not_found, "no database " + database_.str() + " any more"));
+        co_return failed(fail(error_kind::not_found,
+                              "no database " + state_.database.str() + " any more"));
     }
     transaction_.emplace();
     transaction_->route = *by;
@@ -280,8 +288,8 @@
     }
     const auto* by = route();
     if (by == nullptr) {
-        co_return failed(
-            fail(error_kind::not_found, "no database " + database_.str() + " any more"));
+        co_return failed(fail(error_kind::not_found,
+                              "no database " + state_.database.str() + " any more"));
     }
     auto rules = *by;
     co_return co_await runner_.run_single(one, rules);
@@ -338,6 +346,11 @@
             return;
         }
         auto& transaction = *self->transaction_;
+        log_line(log_event::transaction_ended,
+                 {{"database", self->state_.database.str()},
+                  {"service", transaction.route.service.str()},
+                  {"member", transaction.connection.member().str()},
+                  {"detail", "it was idle for too long"}});
         recycle(self->services_, std::move(transaction.connection), false);
         transaction.failed = true;
         transaction.lost =
--- a/src/libpapayabridge/session/caller_session.hpp
+++ b/src/libpapayabridge/session/caller_session.hpp
@@ -31,6 +31,7 @@
 
     net::awaitable<void> serve();
     net::awaitable<bool> open();
+    net::awaitable<void> refuse_session(const error& why);
     net::awaitable<bool> has_configuration();
     net::awaitable<result<caller_message>> next_message();
     net::awaitable<bool> write(std::string bytes);
@@ -57,7 +58,6 @@
     session_registry& registry_;
     session_state state_;
     statement_runner runner_;
-    database_name database_;
     std::optional<session_transaction> transaction_;
     net::steady_timer idle_;
     std::string input_;
--- a/src/libpapayabridge/session/member_pool.cpp
+++ b/src/libpapayabridge/session/member_pool.cpp
@@ -1,5 +1,7 @@
 #include "member_pool.hpp"
 
+#include <papayabridge/log.hpp>
+
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -159,6 +161,9 @@
     to = find(member);
     if (to != nullptr && opened.error().kind == error_kind::overloaded) {
         to->full_until = steady_clock::now() + full_for;
+        log_line(log_event::member_full, {{"member", member.str()},
+                                          {"open", log_number(to->open)},
+                                          {"share", log_number(to->most)}});
     } else {
         note_failure(member, false);
     }
@@ -282,6 +287,11 @@
 {
     auto* one = find(member);
     if (one != nullptr) {
+        if (one->health.failing_since) {
+            auto failed_for = steady_clock::now() - *one->health.failing_since;
+            log_line(log_event::member_usable,
+                     {{"member", member.str()}, {"after_us", log_us(failed_for)}});
+        }
         one->health.failing_since.reset();
         one->health.avoid_until = {};
         if (wrote) {
@@ -298,6 +308,10 @@
     }
     auto now = steady_clock::now();
     auto& health = one->health;
+    if (!health.failing_since) {
+        log_line(log_event::member_avoided,
+                 {{"member", member.str()}, {"wrote", wrote ? "true" : "false"}});
+    }
     health.last_failure = now;
     health.failing_since = health.failing_since.value_or(now);
     health.avoid_until = now + avoid_for;
--- a/src/libpapayabridge/session/session_entry.cpp
+++ b/src/libpapayabridge/session/session_entry.cpp
@@ -61,15 +61,13 @@
       clients_(std::make_shared<rpc_clients>(executor_, std::make_shared<link_table>(),
                                              token_codec(settings_.fleet_key))),
       keepers_(executor_, clients_, settings_.seeds),
-      pool_(executor_, protocols_.members),
-      services_{.executor = executor_,
-                .callers = protocols_.callers,
-                .members = protocols_.members,
-                .pool = pool_,
-                .view = std::make_shared<pool_view>(),
-                .refused = metrics::process().counter_of("statements_refused_total"),
-                .in_doubt = metrics::process().counter_of("statements_in_doubt_total"),
-                .answered = metrics::process().counter_of("statements_answered_total")},
+      pool_(executor_, protocols_.members), services_{.executor = executor_,
+                                                      .callers = protocols_.callers,
+                                                      .members = protocols_.members,
+                                                      .pool = pool_,
+                                                      .view =
+                                                          std::make_shared<pool_view>(),
+                                                      .report = report_},
       acceptor_(runtime.control()), incarnation_(new_incarnation())
 {
 }
@@ -101,7 +99,8 @@
                                                  failed.message());
     }
     if (settings_.metrics) {
-        metrics_ = make_metrics_page(runtime_.control(), *settings_.metrics);
+        metrics_ = make_metrics_page(runtime_.control(), *settings_.metrics,
+                                     [this] { show_gauges(); });
         auto started = metrics_->start();
         if (!started) {
             return started;
@@ -121,7 +120,7 @@
             co_return;
         }
         if (failed) {
-            log_change("accept_failed", {{"why", failed.message()}});
+            log_line(log_event::accept_failed, {{"detail", failed.message()}});
             co_await pause(accept_pause);
             continue;
         }
@@ -150,12 +149,23 @@
     auto outcome = co_await keepers_.propose(std::move(change),
                                              steady_clock::now() + propose_timeout);
     if (!outcome) {
-        log_change("registration_failed", {{"why", outcome.error().str()}});
+        log_line(log_event::registration_failed, {{"detail", outcome.error().str()}});
         co_await pause(watch_retry);
     }
     registering_ = false;
 }
 
+void session_entry::note_contact(const result<watch_update>& update)
+{
+    auto applied = log_number(state_.applied().value());
+    if (update) {
+        log_line(log_event::keepers_reached, {{"applied", applied}});
+    } else {
+        log_line(log_event::keepers_lost,
+                 {{"applied", applied}, {"detail", update.error().str()}});
+    }
+}
+
 net::awaitable<void> session_entry::follow_keepers()
 {
     entry_identity self{.id = settings_.id, .incarnation = incarnation_};
@@ -170,8 +180,7 @@
         }
         if (bool(update) != in_touch) {
             in_touch = bool(update);
-            log_change(in_touch ? "keepers_reached" : "keepers_lost",
-                       {{"why", in_touch ? "" : update.error().str()}});
+            note_contact(update);
         }
         if (update && !is_registered() && !registering_ && !stopping_) {
             registering_ = true;
@@ -207,13 +216,17 @@
     if (published.version > configuration_.version) {
         auto decoded = protocols_.configuration(published.text);
         if (decoded) {
+            auto before = configuration_.version;
             configuration_ = std::move(decoded.value());
             ready_ = true;
-            log_change("configuration_in_force",
-                       {{"version", std::to_string(published.version.value())},
-                        {"routes", std::to_string(configuration_.routes.size())}});
+            log_line(log_event::configuration_in_force,
+                     {{"version", log_number(published.version.value())},
+                      {"before", log_number(before.value())},
+                      {"routes", log_number(configuration_.routes.size())}});
         } else {
-            log_change("configuration_unreadable", {{"why", decoded.error().detail}});
+            log_line(log_event::configuration_unreadable,
+                     {{"version", log_number(published.version.value())},
+                      {"detail", decoded.error().detail}});
         }
     }
     auto view = std::make_shared<pool_view>(
@@ -223,17 +236,52 @@
     for (const auto& [name, service] : view->services) {
         const auto* before = services_.view->service(name);
         if (before == nullptr || before->primary_changes != service.primary_changes) {
-            log_change("primary_known",
-                       {{"service", name.str()},
-                        {"member", service.primary.str()},
-                        {"change", std::to_string(service.primary_changes)}});
+            log_line(log_event::primary_known,
+                     {{"service", name.str()},
+                      {"member", service.primary.str()},
+                      {"change", log_number(service.primary_changes)}});
         }
     }
+    note_members(*services_.view, *view);
     services_.view = view;
     pool_.update(services_.view);
     use_keepers();
 }
 
+// What this entry believes of each member, where that changed.
+void session_entry::note_members(const pool_view& before, const pool_view& now) const
+{
+    std::map<member_id, std::pair<member_run, bool>> known;
+    for (const auto& [name, service] : before.services) {
+        for (const auto& member : service.members) {
+            known[member.run.id] = {member.run, member.leaving};
+        }
+    }
+    for (const auto& [name, service] : now.services) {
+        for (const auto& member : service.members) {
+            auto found = known.find(member.run.id);
+            bool same = found != known.end() && found->second.first == member.run &&
+                        found->second.second == member.leaving;
+            if (found != known.end()) {
+                known.erase(found);
+            }
+            if (same) {
+                continue;
+            }
+            auto at = to_string(member.endpoint);
+            log_line(log_event::member_known,
+                     {{"service", name.str()},
+                      {"member", member.run.id.str()},
+                      {"at", at},
+                      {"distance", log_number(member.distance)},
+                      {"leaving", member.leaving ? "true" : "false"}});
+        }
+    }
+    for (const auto& [id, run] : known) {
+        log_line(log_event::member_gone, {{"member", id.str()}});
+    }
+}
+
 void session_entry::use_keepers()
 {
     std::vector<std::pair<unsigned, tcp::endpoint>> places;
@@ -260,6 +308,17 @@
 
 // --- Troubles ---
 
+void session_entry::show_gauges() const
+{
+    auto& all = metrics::process();
+    all.gauge_of("papaya_sessions").set(log_number(sessions_.size()));
+    all.gauge_of("papaya_member_connections").set(log_number(pool_.open_connections()));
+    all.gauge_of("papaya_statements_waiting").set(log_number(pool_.waiting()));
+    all.gauge_of("papaya_configuration_version")
+        .set(log_number(configuration_.version.value()));
+    all.gauge_of("papaya_control_index").set(log_number(state_.applied().value()));
+}
+
 net::awaitable<void> session_entry::tell_troubles()
 {
     while (true) {
@@ -281,6 +340,13 @@
     auto& health = pool_.health(member);
     auto since = silent_since(health, now);
     if (since) {
+        if (now >= health.avoid_until) {
+            log_line(log_event::member_silent,
+                     {{"service", service.str()},
+                      {"member", member.str()},
+                      {"since_us", log_us(now - *since)},
+                      {"outstanding", log_number(health.outstanding)}});
+        }
         // Other members are used meanwhile, where there are any.
         health.avoid_until = std::max(health.avoid_until, now + trouble_period);
     } else if (now - health.last_failure < trouble_validity) {
@@ -302,14 +368,16 @@
 {
     settings_.seeds = settings.seeds;
     use_keepers();
-    log_change("settings_reloaded", {{"seeds", std::to_string(settings.seeds.size())}});
+    log_line(log_event::settings_reloaded,
+             {{"seeds", log_number(settings.seeds.size())}});
 }
 
 void session_entry::stop()
 {
     if (!stopping_) {
         stopping_ = true;
-        log_change("process_stopping", {{"sessions", std::to_string(sessions_.size())}});
+        log_line(log_event::process_stopping,
+                 {{"sessions", log_number(sessions_.size())}});
         net::co_spawn(executor_, wind_down(), net::detached);
     }
 }
@@ -337,7 +405,7 @@
         close_sessions(steady_clock::now() >= transactions_until, false);
         co_await pause(wind_down_poll);
     }
-    log_change("process_stopped", {{"sessions", std::to_string(sessions_.size())}});
+    log_line(log_event::process_stopped, {{"sessions", log_number(sessions_.size())}});
     runtime_.stop();
 }
 
--- a/src/libpapayabridge/session/session_entry.hpp
+++ b/src/libpapayabridge/session/session_entry.hpp
@@ -47,6 +47,9 @@
     void take_update(watch_update update);
     void publish();
     void use_keepers();
+    void show_gauges() const;
+    void note_contact(const result<watch_update>& update);
+    void note_members(const pool_view& before, const pool_view& now) const;
     void close_sessions(bool in_transactions, bool running);
     bool is_registered() const;
 
@@ -57,6 +60,7 @@
     std::shared_ptr<rpc_clients> clients_;
     keeper_client keepers_;
     member_pool pool_;
+    statement_report report_;
     session_services services_;
     session_registry sessions_;
     tcp::acceptor acceptor_;
--- a/src/libpapayabridge/session/session_settings.cpp
+++ b/src/libpapayabridge/session/session_settings.cpp
@@ -15,6 +15,7 @@
     settings.id = entry_id(section.text("id"));
     settings.location.domain = domain_name(section.text("domain"));
     settings.location.region = region_name(section.text("region"));
+    settings.log = read_log_rates(section);
     auto regions = section.section("regions");
     for (const auto& domain : regions.names()) {
         settings.location.regions[domain_name(domain)] =
--- a/src/libpapayabridge/session/session_settings.hpp
+++ b/src/libpapayabridge/session/session_settings.hpp
@@ -5,6 +5,8 @@
 
 #include "pool_view.hpp"
 
+#include <papayabridge/log.hpp>
+
 namespace papayabridge {
 
 /// What such an entry reads from its settings file.
@@ -12,6 +14,7 @@
 {
     entry_id id;
     entry_location location;
+    log_rates log;
     /// Where callers connect.
     tcp::endpoint callers;
     /// Where metrics are served; nothing if they are not.
--- a/src/libpapayabridge/session/statement_exchange.cpp
+++ b/src/libpapayabridge/session/statement_exchange.cpp
@@ -121,6 +121,7 @@
 statement_runner::exchange(attempt& work, pooled_connection& connection,
                            connection_setup setup, std::string bytes)
 {
+    auto began = steady_clock::now();
     answer_watch watch(services_.pool, connection.member(),
                        work.writes || work.one.verb == statement_verb::commit);
     auto sent = co_await connection->send(
@@ -135,6 +136,8 @@
     auto answer = co_await connection->receive(work.deadline);
     if (answer) {
         watch.answered();
+        services_.report.member_answered(connection.member(),
+                                         steady_clock::now() - began);
     }
     if (!answer && steady_clock::now() >= work.deadline) {
         services_.pool.note_failure(connection.member(), work.writes);
--- a/src/libpapayabridge/session/statement_runner.cpp
+++ b/src/libpapayabridge/session/statement_runner.cpp
@@ -51,7 +51,9 @@
                  .route = route,
                  .deadline = now + route.statement_timeout,
                  .wait_until = now + route.target / wait_part,
-                 .arrived = time_with_suspensions()};
+                 .began = now,
+                 .arrived = time_with_suspensions(),
+                 .version = services_.view->configuration.version};
     work.writes = one.verb == statement_verb::write;
     if (one.verb == statement_verb::execute) {
         auto found = session_.values.prepared.find(one.name);
@@ -127,16 +129,39 @@
                                .session = &session_.values,
                                .rank = work.route.rank,
                                .wait_until = work.wait_until};
+    auto began = steady_clock::now();
     auto taken = co_await services_.pool.take(std::move(request));
+    work.waited += steady_clock::now() - began;
     if (!taken) {
         if (!where.members.empty()) {
             work.last_problem = taken.error();
         }
         co_return pooled_connection();
     }
+    ++work.attempts;
+    work.last_member = taken.value().member();
+    work.last_needed = where.at_least;
     co_return std::move(taken.value());
 }
 
+statement_facts statement_runner::facts(const attempt& work) const
+{
+    return {.request = work.one.id,
+            .database = session_.database,
+            .route = work.route,
+            .version = work.version,
+            .member = work.last_member,
+            .attempts = work.attempts,
+            .waited = work.waited,
+            .took = steady_clock::now() - work.began,
+            .needed = work.last_needed};
+}
+
+void statement_runner::report_end(const attempt& work, const statement_answer& answer)
+{
+    services_.report.ended(facts(work), answer);
+}
+
 net::awaitable<void> statement_runner::rest(attempt& work)
 {
     net::steady_timer timer(services_.executor);
@@ -150,6 +175,7 @@
     auto now = steady_clock::now();
     work.last_problem = problem;
     work.failed_at.insert(member);
+    services_.report.tried(facts(work), problem, reached);
     if (problem.kind == error_kind::behind) {
         auto& health = services_.pool.health(member);
         health.behind_until = now + behind_for;
@@ -170,9 +196,8 @@
     }
 }
 
-statement_answer statement_runner::refused(attempt& work) const
+statement_answer statement_runner::refused(const attempt& work) const
 {
-    services_.refused.add();
     return failed_answer(work.last_problem, session_phase::idle);
 }
 
@@ -180,6 +205,13 @@
                                                               const pooled_route& route)
 {
     auto work = begin(one, route);
+    auto answer = co_await run_until_answered(work);
+    report_end(work, answer);
+    co_return answer;
+}
+
+net::awaitable<statement_answer> statement_runner::run_until_answered(attempt& work)
+{
     do {
         std::optional<statement_answer> answer;
         if (work.writes) {
@@ -188,7 +220,6 @@
             answer = co_await try_read(work);
         }
         if (answer) {
-            services_.answered.add();
             co_return std::move(*answer);
         }
     } while (may_go_on(work));
@@ -212,7 +243,6 @@
             note_problem(work, member, answer.error());
             co_return std::nullopt;
         }
-        services_.in_doubt.add();
         co_return failed_answer(fail(error_kind::outcome_unknown, answer.error().detail),
                                 session_phase::idle);
     }
@@ -319,19 +349,32 @@
 statement_runner::run_within(const statement& one, session_transaction& transaction)
 {
     auto work = begin(one, transaction.route);
-    while (!transaction.connection) {
-        bool bound = co_await bind(work, transaction);
+    bool bound = bool(transaction.connection);
+    if (bound) {
+        work.last_member = transaction.connection.member();
+    }
+    while (!bound) {
+        bound = co_await bind(work, transaction);
         if (!bound && !may_go_on(work)) {
-            services_.refused.add();
             transaction.failed = true;
-            co_return failed_answer(work.last_problem, session_phase::failed);
+            auto answer = failed_answer(work.last_problem, session_phase::failed);
+            report_end(work, answer);
+            co_return answer;
         }
     }
+    auto answer = co_await run_bound(work, transaction);
+    report_end(work, answer);
+    co_return answer;
+}
+
+net::awaitable<statement_answer>
+statement_runner::run_bound(attempt& work, session_transaction& transaction)
+{
     while (true) {
         auto setup =
             plan_setup(transaction.connection->contents, session_.values, work.shape);
         std::string bytes;
-        services_.members.encode_statement(bytes, one, setup.prepared_name, {});
+        services_.members.encode_statement(bytes, work.one, setup.prepared_name, {});
         auto sent = time_with_suspensions();
         auto answer = co_await exchange(work, transaction.connection, std::move(setup),
                                         std::move(bytes));
@@ -361,7 +404,6 @@
         transaction.connection.drop();
         transaction.failed = true;
         if (commits && transaction.wrote) {
-            services_.in_doubt.add();
             co_return failed_answer(
                 fail(error_kind::outcome_unknown, answer.error().detail),
                 session_phase::idle);
@@ -372,7 +414,6 @@
                                 commits ? session_phase::idle : session_phase::failed);
     }
     auto& value = answer.value();
-    services_.answered.add();
     if (commits) {
         if (!value.failure && transaction.wrote) {
             session_.last_commit = std::max(session_.last_commit, value.log_position);
--- a/src/libpapayabridge/session/statement_runner.hpp
+++ b/src/libpapayabridge/session/statement_runner.hpp
@@ -6,8 +6,7 @@
 
 #include "core/position_samples.hpp"
 #include "member_pool.hpp"
-
-#include <papayabridge/metrics.hpp>
+#include "statement_report.hpp"
 
 namespace papayabridge {
 
@@ -21,15 +20,13 @@
     std::shared_ptr<const pool_view> view;
     /// Positions of each service's primary.
     std::map<service_name, position_samples> samples;
-    /// Statements refused without being sent, and those with an unknown outcome.
-    counter& refused;
-    counter& in_doubt;
-    counter& answered;
+    statement_report& report;
 };
 
 /// A session's state between statements.
 struct session_state
 {
+    database_name database;
     session_values values;
     /// Position of its last acknowledged commit.
     std::optional<position> last_commit;
@@ -80,8 +77,17 @@
         time_point deadline;
         /// Until then it may wait for a connection.
         time_point wait_until;
-        /// When it arrived, suspensions included.
+        /// When it arrived; the second with suspensions included.
+        time_point began;
         position_samples::time arrived;
+        /// The configuration that it runs under.
+        config_version version;
+        /// Spent without a member connection.
+        std::chrono::nanoseconds waited{0};
+        unsigned attempts = 0;
+        /// The last member tried, and the position that it had to hold.
+        member_id last_member;
+        std::optional<position> last_needed;
         /// Members that failed this statement, tried again only after all others.
         std::set<member_id> failed_at;
         error last_problem{error_kind::no_primary, "no member can serve it"};
@@ -102,6 +108,7 @@
     net::awaitable<pooled_connection> take(attempt& work, const placement& where);
     net::awaitable<void> rest(attempt& work);
 
+    net::awaitable<statement_answer> run_until_answered(attempt& work);
     net::awaitable<std::optional<statement_answer>> try_write(attempt& work);
     net::awaitable<std::optional<statement_answer>> try_read(attempt& work);
     net::awaitable<bool> bind(attempt& work, session_transaction& transaction);
@@ -111,10 +118,14 @@
                                                       pooled_connection& connection,
                                                       connection_setup setup,
                                                       std::string bytes);
+    net::awaitable<statement_answer> run_bound(attempt& work,
+                                               session_transaction& transaction);
     net::awaitable<statement_answer> end_within(attempt& work,
                                                 session_transaction& transaction,
                                                 result<statement_answer> answer);
-    statement_answer refused(attempt& work) const;
+    statement_answer refused(const attempt& work) const;
+    statement_facts facts(const attempt& work) const;
+    void report_end(const attempt& work, const statement_answer& answer);
     void note_problem(attempt& work, const member_id& member, const error& problem,
                       std::optional<position> reached = {});
     void sample(const attempt& work, position_samples::time sent,
--- a/src/libpapayabridge/tools/daemon.cpp
+++ b/src/libpapayabridge/tools/daemon.cpp
@@ -12,6 +12,11 @@
 
 namespace net = boost::asio;
 
+namespace {
+// A reader of standard output that has stopped reading delays the end no longer.
+constexpr std::chrono::milliseconds longest_flush{200};
+} // namespace
+
 daemon_options parse_daemon_options(int argc, char** argv, const std::string& description)
 {
     daemon_options options;
@@ -49,7 +54,7 @@
 
 void end_process(exit_code code)
 {
-    std::cout.flush();
+    flush_log(longest_flush);
     std::cerr.flush();
     std::_Exit(static_cast<int>(code));
 }
@@ -82,7 +87,7 @@
             return;
         }
         hangups.async_wait(hung_up);
-        log_change("hangup", {{"reloads", on_reload ? "true" : "false"}});
+        log_line(log_event::hangup, {{"reloads", on_reload ? "true" : "false"}});
         if (on_reload) {
             on_reload();
         }
--- a/src/libpapayabridge/tools/log.cpp
+++ b/src/libpapayabridge/tools/log.cpp
@@ -1,7 +1,10 @@
-#include <papayabridge/daemon.hpp>
-#include <papayabridge/events.hpp>
-#include <papayabridge/json.hpp>
+// The log of this process: easylogging++ writes what the pipeline brings.
 
+#include "log_pipeline.hpp"
+
+#include <papayabridge/settings.hpp>
+
+#include <atomic>
 #include <easylogging++.h>
 
 INITIALIZE_EASYLOGGINGPP
@@ -9,35 +12,60 @@
 namespace papayabridge {
 
 namespace {
-std::string& process_name()
+
+constexpr number_range lines_a_second{0, 100'000};
+
+std::atomic<log_pipeline*>& process_log()
 {
-    static std::string name;
-    return name;
+    static std::atomic<log_pipeline*> one{nullptr};
+    return one;
 }
+
+void write_with_easylogging(const std::string& text)
+{
+    LOG(INFO) << text;
+}
+
 } // namespace
 
-void start_log(const std::string& process)
+log_rates read_log_rates(settings_section& root)
+{
+    auto section = root.section("log");
+    auto read = [&section](const char* name, unsigned usual) {
+        return static_cast<unsigned>(section.number(name, lines_a_second, usual));
+    };
+    log_rates rates;
+    rates.changes = read("changes_a_second", rates.changes);
+    rates.troubles = read("troubles_a_second", rates.troubles);
+    rates.ordinary = read("ordinary_a_second", rates.ordinary);
+    section.finish();
+    return rates;
+}
+
+void start_log(const std::string& process, log_rates rates)
 {
-    process_name() = process;
     el::Configurations settings;
     settings.setToDefault();
     settings.setGlobally(el::ConfigurationType::Format, "%msg");
     settings.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
     settings.setGlobally(el::ConfigurationType::ToFile, "false");
     el::Loggers::reconfigureAllLoggers(settings);
+    process_log() = &log_pipeline::start(
+        {.process = process, .rates = rates, .sink = write_with_easylogging});
+}
+
+void log_line(log_event event, log_fields fields)
+{
+    if (auto* log = process_log().load(); log != nullptr) {
+        log->write(event, fields);
+    }
 }
 
-void log_change(std::string_view what,
-                std::initializer_list<std::pair<std::string_view, std::string>> fields)
+void flush_log(std::chrono::milliseconds patience)
 {
-    Json::Value line;
-    line["stamp"] = Json::UInt64(hybrid_clock::process().tick());
-    line["process"] = process_name();
-    line["change"] = std::string(what);
-    for (const auto& [name, value] : fields) {
-        line[std::string(name)] = value;
+    if (auto* log = process_log().load(); log != nullptr) {
+        log->flush(patience);
     }
-    LOG(INFO) << to_json(line);
 }
 
 } // namespace papayabridge
--- /dev/null
+++ b/src/libpapayabridge/tools/log_pipeline.cpp
@@ -0,0 +1,100 @@
+#include "log_pipeline.hpp"
+
+#include <papayabridge/events.hpp>
+#include <papayabridge/metrics.hpp>
+
+#include <thread>
+
+namespace papayabridge {
+
+namespace {
+
+constexpr std::size_t batch_bytes = 64 * 1024;
+// How often the log says what it held back.
+constexpr std::chrono::seconds held_back_period{1};
+
+} // namespace
+
+log_pipeline& log_pipeline::start(log_pipeline_options options)
+{
+    auto* made = new log_pipeline(std::move(options));
+    std::thread([made] { made->run(); }).detach();
+    return *made;
+}
+
+void log_pipeline::offer(log_event event, log_fields fields)
+{
+    auto text = log_text(event, hybrid_clock::process().tick(), options_.process, fields);
+    if (!queue_.offer({.event = event, .text = std::move(text)})) {
+        budget_.count_lost(event);
+        lost_some_ = true;
+    }
+}
+
+void log_pipeline::write(log_event event, log_fields fields)
+{
+    std::lock_guard lock(mutex_);
+    bool was_empty = queue_.empty();
+    if (budget_.admit(event, clock::now())) {
+        offer(event, fields);
+    } else {
+        lost_some_ = true;
+    }
+    if (was_empty && !queue_.empty()) {
+        changed_.notify_all();
+    }
+}
+
+void log_pipeline::report_held_back()
+{
+    auto now = clock::now();
+    if (!lost_some_ || now - reported_at_ < held_back_period) {
+        return;
+    }
+    reported_at_ = now;
+    lost_some_ = false;
+    for (const auto& [event, lines] : budget_.take_held_back()) {
+        metrics::process()
+            .counter_of("papaya_log_lines_held_back_total",
+                        {{"event", std::string(row_of(event).name)}})
+            .add(lines);
+        offer(log_event::lines_held_back,
+              {{"of", row_of(event).name}, {"lines", log_number(lines)}});
+    }
+}
+
+void log_pipeline::run()
+{
+    std::unique_lock lock(mutex_);
+    while (true) {
+        auto has_lines = [this] { return !queue_.empty(); };
+        if (lost_some_) {
+            // What was held back is said also when no line follows.
+            changed_.wait_until(lock, reported_at_ + held_back_period, has_lines);
+        } else {
+            changed_.wait(lock, [&] { return has_lines() || lost_some_; });
+        }
+        changed_.wait_for(lock, options_.batch_time, [this] { return flushing_; });
+        report_held_back();
+        while (!queue_.empty()) {
+            auto text = queue_.take(batch_bytes);
+            writing_ = true;
+            lock.unlock();
+            options_.sink(text);
+            lock.lock();
+            writing_ = false;
+        }
+        changed_.notify_all();
+    }
+}
+
+void log_pipeline::flush(std::chrono::milliseconds patience)
+{
+    std::unique_lock lock(mutex_);
+    flushing_ = true;
+    changed_.notify_all();
+    changed_.wait_for(lock, patience, [this] { return queue_.empty() && !writing_; });
+    flushing_ = false;
+}
+
+} // namespace papayabridge
--- a/src/libpapayabridge/tools/reload_watch.cpp
+++ b/src/libpapayabridge/tools/reload_watch.cpp
@@ -58,7 +58,7 @@
         take_(document);
     }
     if (!document.problems().empty()) {
-        log_change("settings_refused", {{"problems", document.problem_text()}});
+        log_line(log_event::settings_refused, {{"detail", document.problem_text()}});
     }
 }
 
--- a/src/papayabridged/main.cpp
+++ b/src/papayabridged/main.cpp
@@ -25,14 +25,14 @@
 {
     auto settings = read_entry_settings(document);
     finish_settings(options, document);
-    start_log(settings.id.str());
+    start_log(settings.id.str(), settings.log);
     daemon_runtime runtime(settings.traffic_threads);
     entry_process entry(runtime, settings);
     auto started = entry.start();
     if (!started) {
         return fail_start(started.error());
     }
-    log_change("started", {{"http", to_string(settings.http)}});
+    log_line(log_event::process_started, {{"at", to_string(settings.http)}});
     runtime.run([&entry] { entry.drain(); });
     return exit_code::success;
 }
@@ -58,7 +58,7 @@
 {
     auto settings = read_session_document(document);
     finish_settings(options, document);
-    start_log(settings.entry.id.str());
+    start_log(settings.entry.id.str(), settings.entry.log);
     daemon_runtime runtime(0);
     platform::text_caller_codec callers;
     platform::text_member_codec members;
@@ -75,7 +75,7 @@
     if (!started) {
         return fail_start(started.error());
     }
-    log_change("process_started", {{"callers", to_string(settings.entry.callers)}});
+    log_line(log_event::process_started, {{"at", to_string(settings.entry.callers)}});
     reload_watch watch(runtime.control().get_executor(), options.settings_file,
                        [&entry](settings_document& changed) {
                            auto settings = read_session_document(changed);
--- a/src/papayadb/main.cpp
+++ b/src/papayadb/main.cpp
@@ -60,9 +60,12 @@
     }
     net::co_spawn(runtime.control(), puller.run(), net::detached);
     net::co_spawn(runtime.control(), teller.run(), net::detached);
-    papayabridge::log_change("started",
-                             {{"term", std::to_string(node.state.accepted().value())},
-                              {"position", node.state.last().str()}});
+    using papayabridge::log_event;
+    papayabridge::log_line(
+        log_event::process_started,
+        {{"at", papayabridge::to_string(node.settings.listen)},
+         {"term", papayabridge::log_number(node.state.accepted().value())},
+         {"position", node.state.last().str()}});
     runtime.run([&] {
         node.leave();
         net::co_spawn(runtime.control(), finish(node, runtime), net::detached);
--- a/src/papayakeeper/applied_state.cpp
+++ b/src/papayakeeper/applied_state.cpp
@@ -1,5 +1,7 @@
 #include "applied_state.hpp"
 
+#include <papayabridge/log.hpp>
+
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -24,6 +26,16 @@
 command_outcome applied_state::apply(control_index index, const command& change)
 {
     auto outcome = state_.apply(index, change);
+    if (const auto* entry = std::get_if<set_entry_condition>(&change)) {
+        log_line(log_event::entry_changed,
+                 {{"entry", entry->entry.str()},
+                  {"condition", to_string(entry->condition)},
+                  {"accepted", outcome.accepted ? "true" : "false"}});
+    } else if (const auto* entry = std::get_if<register_entry>(&change)) {
+        log_line(log_event::entry_changed, {{"entry", entry->entry.id.str()},
+                                            {"condition", "started"},
+                                            {"accepted", "true"}});
+    }
     recent_.push_back({.index = index, .change = change});
     if (recent_.size() > commands_kept) {
         kept_after_ = recent_.front().index;
--- a/src/papayakeeper/keeper_control.cpp
+++ b/src/papayakeeper/keeper_control.cpp
@@ -27,17 +27,19 @@
 net::awaitable<result<void>>
 keeper_control::publish(published_configuration configuration)
 {
-    auto version = std::to_string(configuration.version.value());
-    const auto& held = replicated_.applied().state().pool().configuration();
-    if (configuration.version <= held.version) {
+    auto version = log_number(configuration.version.value());
+    auto before = replicated_.applied().state().pool().configuration().version;
+    if (configuration.version <= before) {
         // What is applied was accepted by a majority and cannot be lost.
         co_return success();
     }
     command change = publish_configuration{.configuration = std::move(configuration)};
     auto published = co_await propose(std::move(change));
-    log_change("configuration_sent",
-               {{"version", version},
-                {"outcome", published ? "durable" : published.error().str()}});
+    log_line(log_event::configuration_sent,
+             {{"version", version},
+              {"before", log_number(before.value())},
+              {"outcome", published ? "durable" : "not_durable"},
+              {"detail", published ? "" : published.error().str()}});
     co_return published;
 }
 
@@ -57,13 +59,13 @@
     if (!replicated_.applied().state().pool().is_news(member)) {
         co_return success();
     }
-    log_change("member_reported",
-               {{"member", member.run.id.str()},
-                {"service", member.service.str()},
-                {"endpoint", member.endpoint},
-                {"leaving", member.leaving ? "true" : "false"},
-                {"claims_primary", member.claims_primary ? "true" : "false"},
-                {"sequence", std::to_string(member.sequence)}});
+    log_line(log_event::member_reported,
+             {{"member", member.run.id.str()},
+              {"service", member.service.str()},
+              {"at", member.endpoint},
+              {"leaving", member.leaving ? "true" : "false"},
+              {"claims_primary", member.claims_primary ? "true" : "false"},
+              {"sequence", log_number(member.sequence)}});
     command change = report_member{.member = std::move(member)};
     auto reported = co_await propose(std::move(change));
     co_return reported;
@@ -85,7 +87,7 @@
         co_return success();
     }
     auto run = known->run;
-    log_change("member_withdrawn", {{"member", id.str()}});
+    log_line(log_event::member_withdrawn, {{"member", id.str()}});
     command change = remove_member{.run = run};
     auto removed = co_await propose(std::move(change));
     co_return removed;
--- a/src/papayakeeper/keeper_settings.cpp
+++ b/src/papayakeeper/keeper_settings.cpp
@@ -39,6 +39,7 @@
     settings.id = keeper_id(section.text("id"));
     settings.domain = domain_name(section.text("domain"));
     settings.region = region_name(section.text("region"));
+    settings.log = read_log_rates(section);
     settings.rpc = section.endpoint("rpc");
     settings.data = section.text("data");
     settings.fleet_key = section.text("fleet_key");
--- a/src/papayakeeper/keeper_settings.hpp
+++ b/src/papayakeeper/keeper_settings.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <papayabridge/ids.hpp>
 #include <papayabridge/links.hpp>
+#include <papayabridge/log.hpp>
 #include <papayabridge/settings.hpp>
 #include <string>
 #include <vector>
@@ -27,6 +28,7 @@
     keeper_id id;
     domain_name domain;
     region_name region;
+    log_rates log;
     tcp::endpoint rpc;
     /// Folder of the files that must survive.
     std::string data;
--- a/src/papayakeeper/main.cpp
+++ b/src/papayakeeper/main.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <iostream>
 #include <papayabridge/daemon.hpp>
+#include <papayabridge/metrics.hpp>
 #include <platform/control_server.hpp>
 #include <platform/documents.hpp>
 #include <platform/platform_settings.hpp>
@@ -25,7 +26,7 @@
 net::awaitable<void> stop(replicator& replicated, rpc_server& server,
                           daemon_runtime& runtime)
 {
-    log_change("process_stopping");
+    log_line(log_event::process_stopping);
     co_await replicated.finish();
     server.stop();
     runtime.stop();
@@ -82,6 +83,16 @@
     platform::control_server server_;
 };
 
+void show_gauges(replicator& replicated)
+{
+    const auto& state = replicated.applied().state();
+    auto& all = metrics::process();
+    all.gauge_of("papaya_control_index").set(log_number(state.applied().value()));
+    all.gauge_of("papaya_configuration_version")
+        .set(log_number(state.pool().configuration().version.value()));
+    all.gauge_of("papaya_keeper_leads").set(replicated.duties().is_leading() ? 1 : 0);
+}
+
 exit_code run(const daemon_options& options)
 {
     auto document = settings_document::open(options.settings_file);
@@ -89,7 +100,7 @@
     const auto& settings = read.keeper;
     finish_settings(options, document);
 
-    start_log(settings.id.str());
+    start_log(settings.id.str(), settings.log);
     event_log events(settings.id.str());
     std::error_code failed;
     std::filesystem::create_directories(settings.data, failed);
@@ -112,7 +123,8 @@
     auto started = server.start();
     std::unique_ptr<http_server> metrics_page;
     if (started && settings.metrics) {
-        metrics_page = make_metrics_page(runtime.control(), *settings.metrics);
+        metrics_page = make_metrics_page(runtime.control(), *settings.metrics,
+                                         [&replicated] { show_gauges(replicated); });
         started = metrics_page->start();
     }
     if (started && on_platform) {
@@ -124,13 +136,13 @@
     }
     replicated.start();
     events.record({.kind = event_kind::process_started, .detail = settings.id.str()});
-    log_change("process_started", {{"rpc", to_string(settings.rpc)}});
+    log_line(log_event::process_started, {{"at", to_string(settings.rpc)}});
     reload_watch watch(executor, options.settings_file, [&](settings_document& changed) {
         auto again = read_keeper_document(changed);
         if (changed.problems().empty()) {
             replicated.set_seeds(again.keeper.seeds);
-            log_change("settings_reloaded",
-                       {{"seeds", std::to_string(again.keeper.seeds.size())}});
+            log_line(log_event::settings_reloaded,
+                     {{"seeds", log_number(again.keeper.seeds.size())}});
         }
     });
     watch.start();
--- a/src/papayakeeper/member_contact.cpp
+++ b/src/papayakeeper/member_contact.cpp
@@ -35,8 +35,8 @@
     auto opened = co_await member_connection::open(executor_, codec_, *address_, deadline,
                                                    &report_.is_stopped);
     if (!opened) {
-        log_change("member_not_reached",
-                   {{"member", report_.run.id.str()}, {"why", opened.error().str()}});
+        log_line(log_event::member_not_reached,
+                 {{"member", report_.run.id.str()}, {"detail", opened.error().str()}});
         co_return;
     }
     connection_ = std::move(opened.value());
@@ -76,8 +76,8 @@
             answer = co_await connection_->receive(deadline);
         }
         if (!answer) {
-            log_change("member_not_answering",
-                       {{"member", report_.run.id.str()}, {"why", answer.error().str()}});
+            log_line(log_event::member_not_answering, {{"member", report_.run.id.str()},
+                                                       {"detail", answer.error().str()}});
             connection_.reset();
             co_return;
         }
@@ -89,14 +89,15 @@
             if (status) {
                 report_.status = status.value();
             } else {
-                log_change("member_status_unreadable", {{"member", report_.run.id.str()},
-                                                        {"why", status.error().detail}});
+                log_line(log_event::member_status_unreadable,
+                         {{"member", report_.run.id.str()},
+                          {"detail", status.error().detail}});
             }
             co_return;
         }
         if (failure->kind != error_kind::overloaded) {
-            log_change("member_refused_question",
-                       {{"member", report_.run.id.str()}, {"why", failure->detail}});
+            log_line(log_event::member_refused_question,
+                     {{"member", report_.run.id.str()}, {"detail", failure->detail}});
             co_return;
         }
         net::steady_timer timer(executor_);
--- a/src/papayakeeper/promotion_attempt.cpp
+++ b/src/papayakeeper/promotion_attempt.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <papayabridge/daemon.hpp>
+#include <papayabridge/metrics.hpp>
 
 namespace papayabridge {
 
@@ -33,7 +34,8 @@
     auto accepted = co_await replicated_.propose(
         std::move(change), steady_clock::now() + propose_timeout, true);
     if (!accepted) {
-        log_change("promotion_step_not_accepted", {{"why", accepted.error().str()}});
+        log_line(log_event::promotion_step_not_accepted,
+                 {{"detail", accepted.error().str()}});
         co_return accepted.error();
     }
     co_return accepted.value().index;
@@ -170,10 +172,28 @@
     co_return member_id();
 }
 
+// What the choice of the next primary was made from.
+void promotion_duty::note_compared(const service_name& name, control_index token,
+                                   const contacts& all)
+{
+    for (const auto& one : all) {
+        const auto& report = one->report();
+        auto received = report.status ? report.status->received.str() : "unknown";
+        log_line(
+            log_event::promotion_compared,
+            {{"service", name.str()},
+             {"token", log_number(token.value())},
+             {"member", report.run.id.str()},
+             {"received", received},
+             {"leads", report.status && report.status->is_primary ? "true" : "false"},
+             {"stopped", report.is_stopped ? "true" : "false"}});
+    }
+}
+
 net::awaitable<void> promotion_duty::attempt(service_name name, std::string reason,
                                              bool planned, member_id silent)
 {
-    log_change("promotion_begun", {{"service", name.str()}, {"reason", reason}});
+    log_line(log_event::promotion_begun, {{"service", name.str()}, {"reason", reason}});
     command beginning = begin_promotion{.service = name, .reason = reason};
     auto begun = co_await propose(std::move(beginning));
     if (!begun) {
@@ -203,12 +223,13 @@
         co_await stop_receiving(all, question.primary, no_target);
         target = safe_target(question_of(name, all));
     }
+    note_compared(name, token, all);
     if (target.empty()) {
-        log_change("promotion_not_safe",
-                   {{"service", name.str()},
-                    {"fencing_token", std::to_string(token.value())},
-                    {"members", std::to_string(all.size())},
-                    {"uncovered", std::to_string(departures_[name].uncovered.size())}});
+        log_line(log_event::promotion_not_safe,
+                 {{"service", name.str()},
+                  {"token", log_number(token.value())},
+                  {"members", log_number(all.size())},
+                  {"uncovered", log_number(departures_[name].uncovered.size())}});
         co_await resume_receiving(all);
         co_return;
     }
@@ -244,11 +265,13 @@
         auto* asked = since(began) < takeover_question ? nullptr : &contact;
         if (co_await has_taken_over(name, target, token, asked)) {
             departures_[name].uncovered.clear();
-            log_change("primary_changed",
-                       {{"service", name.str()},
-                        {"member", target.str()},
-                        {"fencing_token", std::to_string(token.value())},
-                        {"took", text_of(since(began))}});
+            metrics::process()
+                .latency_of("papaya_promotion_seconds", {{"service", name.str()}})
+                .record(steady_clock::now() - began);
+            log_line(log_event::primary_changed, {{"service", name.str()},
+                                                  {"member", target.str()},
+                                                  {"token", log_number(token.value())},
+                                                  {"took_us", log_us(since(began))}});
             co_return;
         }
         co_await pause(takeover_poll);
--- a/src/papayakeeper/promotion_duty.cpp
+++ b/src/papayakeeper/promotion_duty.cpp
@@ -4,6 +4,7 @@
 
 #include "elapsed.hpp"
 
+#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -26,6 +27,9 @@
 // How often it is checked whether the remaining replicas hold everything.
 constexpr std::chrono::milliseconds coverage_pause{400};
 
+constexpr std::array<std::string_view, 4> probe_words{"leads", "answers", "silent",
+                                                      "stopped"};
+
 } // namespace
 
 promotion_duty::promotion_duty(net::any_io_executor executor, replicator& replicated,
@@ -70,7 +74,8 @@
         if (decoded) {
             configuration_ = std::move(decoded.value());
         } else {
-            log_change("configuration_unreadable", {{"why", decoded.error().detail}});
+            log_line(log_event::configuration_unreadable,
+                     {{"detail", decoded.error().detail}});
         }
     }
     auto found = configuration_.services.find(name);
@@ -235,13 +240,14 @@
     time_point began = steady_clock::now();
     auto count = complaining(name, primary, began);
     bool lost = is_primary_lost(probe, count, entries_up(), since(began));
-    log_change("primary_probed", {{"service", name.str()},
-                                  {"member", primary.str()},
-                                  {"probe", std::to_string(static_cast<int>(probe))},
-                                  {"complaining", std::to_string(count)},
-                                  {"entries", std::to_string(entries_up())},
-                                  {"lasting", text_of(since(began))},
-                                  {"lost", lost ? "true" : "false"}});
+    log_line(log_event::primary_probed,
+             {{"service", name.str()},
+              {"member", primary.str()},
+              {"probe", probe_words[static_cast<std::size_t>(probe)]},
+              {"complaining", log_number(count)},
+              {"entries", log_number(entries_up())},
+              {"lasting_us", log_us(since(began))},
+              {"lost", lost ? "true" : "false"}});
     co_return lost;
 }
 
--- a/src/papayakeeper/promotion_duty.hpp
+++ b/src/papayakeeper/promotion_duty.hpp
@@ -57,6 +57,8 @@
                                            member_id& silent);
     net::awaitable<void> attempt(service_name name, std::string reason, bool planned,
                                  member_id silent);
+    static void note_compared(const service_name& name, control_index token,
+                              const contacts& all);
     net::awaitable<contacts> reach_members(service_name name, member_id without);
     net::awaitable<void> on_each(contacts& all, contact_step step);
     net::awaitable<void> stop_receiving(contacts& all, member_id primary,
--- a/src/papayakeeper/replicator.cpp
+++ b/src/papayakeeper/replicator.cpp
@@ -51,7 +51,7 @@
     }
     incarnation_ = opened.value().incarnation;
     if (opened.value().cut_tail) {
-        log_change("log_tail_cut", {{"folder", settings_.data}});
+        log_line(log_event::log_tail_cut, {{"folder", settings_.data}});
     }
     recovered_ = std::move(opened.value().state);
 }
@@ -308,11 +308,11 @@
     if (leads) {
         duties_.begin(steady_clock::now());
         events_.record({.kind = event_kind::leader_elected, .detail = term_text});
-        log_change("leader_elected", {{"term", term_text}});
+        log_line(log_event::leader_elected, {{"term", term_text}});
     } else {
         duties_.end();
         events_.record({.kind = event_kind::leader_stepped_down, .detail = term_text});
-        log_change("leader_stepped_down", {{"term", term_text}});
+        log_line(log_event::leader_stepped_down, {{"term", term_text}});
     }
 }
 
@@ -321,7 +321,7 @@
     storage_failure_ = failure;
     duties_.end();
     events_.record({.kind = event_kind::storage_failed, .detail = failure.detail});
-    log_change("storage_failed", {{"detail", failure.detail}});
+    log_line(log_event::storage_failed, {{"detail", failure.detail}});
     proposals_.release();
     applied_.wake();
 }
--- a/src/papayakeeper/replicator_genesis.cpp
+++ b/src/papayakeeper/replicator_genesis.cpp
@@ -186,7 +186,7 @@
     }
     auto found = first.snapshot.voters.find(settings_.id);
     bool votes = found != first.snapshot.voters.end() && found->second == incarnation_;
-    log_change("group_joined", {{"as", votes ? "voter" : "learner"}});
+    log_line(log_event::group_joined, {{"as", votes ? "voter" : "learner"}});
     begin(std::move(first));
 }
 
