One connection to each member is left to the most urgent rank; log files are explained

Change: from a share of three connections on, other ranks leave one unused.

Tests: session_test (urgent statement beside open transactions, failed before), log_story.

--- a/src/libpapayabridge/session/member_pool.cpp
+++ b/src/libpapayabridge/session/member_pool.cpp
@@ -19,6 +19,8 @@
 // An idle connection is closed after so long; a member forgets those of a machine without
 // power after three seconds.
 constexpr std::chrono::milliseconds unused_for{3000};
+// From this share of a member's connections on, one is left to the most urgent rank.
+constexpr unsigned least_share_with_reserve = 3;
 // A part of each member's connections is left to keepers and to entries that join.
 constexpr unsigned spare_connections = 2;
 
@@ -128,6 +130,15 @@
     }
 }
 
+// Less urgent statements leave a connection to the most urgent ones, which else would
+// wait for a transaction to end.
+bool member_pool::may_use(const slot& one, unsigned rank)
+{
+    auto in_use = one.open - static_cast<unsigned>(one.idle.size());
+    auto reserved = rank == 0 || one.most < least_share_with_reserve ? 0U : 1U;
+    return in_use + reserved < one.most;
+}
+
 std::unique_ptr<member_connection> member_pool::take_idle(slot& from,
                                                           const session_values& session)
 {
@@ -181,6 +192,11 @@
             failure = fail(error_kind::unreachable, member.str() + " is not usable");
             continue;
         }
+        if (!may_use(*one, request.rank)) {
+            failure = fail(error_kind::overloaded,
+                           "all connections to " + member.str() + " are in use");
+            continue;
+        }
         auto idle = take_idle(*one, *request.session);
         if (idle) {
             co_return pooled_connection(*this, std::move(idle));
@@ -234,7 +250,9 @@
         const auto& wanted = (*one)->request->members;
         bool wants = std::find(wanted.begin(), wanted.end(), member) != wanted.end();
         bool free = !(*one)->granted;
-        if (wants && free &&
+        auto* from = find(member);
+        bool may = from == nullptr || may_use(*from, (*one)->request->rank);
+        if (wants && free && may &&
             (best == waiters_.end() || (*one)->request->rank < (*best)->request->rank))
         {
             best = one;
@@ -255,14 +273,14 @@
         dropped(id);
         return;
     }
+    connection->idle_since = steady_clock::now();
+    one->idle.push_back(std::move(connection));
     auto next = best_waiter(member);
-    if (next == waiters_.end()) {
-        connection->idle_since = steady_clock::now();
-        one->idle.push_back(std::move(connection));
-        return;
+    if (next != waiters_.end()) {
+        (*next)->granted = std::move(one->idle.back());
+        one->idle.pop_back();
+        (*next)->woken.cancel();
     }
-    (*next)->granted = std::move(connection);
-    (*next)->woken.cancel();
 }
 
 void member_pool::dropped(const member_id& member)
--- a/src/libpapayabridge/session/member_pool.hpp
+++ b/src/libpapayabridge/session/member_pool.hpp
@@ -127,6 +127,7 @@
     };
 
     slot* find(const member_id& member);
+    static bool may_use(const slot& one, unsigned rank);
     std::unique_ptr<member_connection> take_idle(slot& from,
                                                  const session_values& session);
     net::awaitable<result<pooled_connection>> open(member_id member, time_point deadline);
--- a/src/libpapayabridge/session/statement_runner.cpp
+++ b/src/libpapayabridge/session/statement_runner.cpp
@@ -129,6 +129,7 @@
                                .session = &session_.values,
                                .rank = work.route.rank,
                                .wait_until = work.wait_until};
+    work.last_needed = where.at_least;
     auto began = steady_clock::now();
     auto taken = co_await services_.pool.take(std::move(request));
     work.waited += steady_clock::now() - began;
@@ -140,7 +141,6 @@
     }
     ++work.attempts;
     work.last_member = taken.value().member();
-    work.last_needed = where.at_least;
     co_return std::move(taken.value());
 }
 
--- a/src/papayactl/command_line.hpp
+++ b/src/papayactl/command_line.hpp
@@ -53,14 +53,22 @@
     TCLAP::CmdLine& line() noexcept { return line_; }
     /// Adds --settings and --timeout, for commands that ask the fleet.
     void asks_fleet();
+    /// Adds --log as well, for commands that read files instead where they are given.
+    void asks_fleet_or_logs();
+    /// The files of --log.
+    const std::vector<std::string>& logs() { return logs_.getValue(); }
     /// Ends the process where the command line is wrong, or after --help or --version.
     common_options parse(int argc, char** argv);
 
 private:
     TCLAP::CmdLine line_;
+    bool asks_fleet_ = false;
     TCLAP::SwitchArg json_{"", "json", "print one JSON object"};
     TCLAP::ValueArg<std::string> settings_{
-        "s", "settings", "settings file: JSON with comments", true, "", "FILE"};
+        "s", "settings", "settings file: JSON with comments", false, "", "FILE"};
+    TCLAP::MultiArg<std::string> logs_{
+        "", "log", "log file of a process, read instead of asking the fleet", false,
+        "FILE"};
     TCLAP::ValueArg<unsigned> timeout_{
         "",    "timeout", "longest wait for a process, in seconds; default 5",
         false, 5,         "SECONDS"};
--- a/src/papayactl/operator_tool.cpp
+++ b/src/papayactl/operator_tool.cpp
@@ -32,14 +32,25 @@
 
 void command_line::asks_fleet()
 {
+    asks_fleet_ = true;
     line_.add(settings_);
     line_.add(timeout_);
 }
 
+void command_line::asks_fleet_or_logs()
+{
+    asks_fleet();
+    line_.add(logs_);
+}
+
 common_options command_line::parse(int argc, char** argv)
 {
     try {
         line_.parse(argc, argv);
+        if (asks_fleet_ && !settings_.isSet() && logs_.getValue().empty()) {
+            throw TCLAP::CmdLineParseException("One or more required arguments missing",
+                                               "settings");
+        }
     } catch (const TCLAP::ExitException& ended) {
         std::exit(ended.getExitStatus());
     } catch (const TCLAP::ArgException& wrong) {
