--- a/src/libpapayabridge/core/log_story.cpp
+++ b/src/libpapayabridge/core/log_story.cpp
@@ -74,7 +74,7 @@
 }
 
 request_story story_of(const log_lines& all, const std::string& request,
-                       std::uint64_t before_ms)
+                       std::uint64_t within_ms)
 {
     request_story story;
     std::set<std::string> processes;
@@ -91,10 +91,10 @@
     if (story.own.empty()) {
         return story;
     }
-    auto span = before_ms << counter_bits;
+    auto span = within_ms << counter_bits;
     auto first = number_of(story.own.front(), "stamp");
     auto from = first - std::min(first, span);
-    auto to = number_of(story.own.back(), "stamp");
+    auto to = number_of(story.own.back(), "stamp") + span;
     for (const auto& line : all.lines) {
         auto stamp = number_of(line, "stamp");
         bool near = processes.count(text_of(line, "process")) != 0;
--- a/src/libpapayabridge/core/log_story.hpp
+++ b/src/libpapayabridge/core/log_story.hpp
@@ -30,12 +30,12 @@
 {
     /// The lines of the request itself.
     std::vector<Json::Value> own;
-    /// Changes, from \p before the first of these on, at the processes that served the
-    /// request, or about members that it was tried at.
+    /// Changes shortly before, during and after, at the processes that served the request
+    /// or about members that it was tried at.
     std::vector<Json::Value> around;
 };
-/// \p all is in order; \p before in milliseconds.
+/// \p all is in order; "shortly" is \p within_ms.
 request_story story_of(const log_lines& all, const std::string& request,
-                       std::uint64_t before_ms);
+                       std::uint64_t within_ms);
 
 } // namespace papayabridge
--- a/src/libpapayabridge/session/statement_exchange.cpp
+++ b/src/libpapayabridge/session/statement_exchange.cpp
@@ -147,6 +147,19 @@
     co_return answer;
 }
 
+// An answer can be lost while the one behind it arrives. A success that is not the
+// statement's own has no receipt, or leaves the session in another phase.
+result<statement_answer> statement_runner::own_answer(result<statement_answer> answer,
+                                                      session_phase after)
+{
+    bool foreign = answer && !answer.value().failure &&
+                   (answer.value().receipt.empty() || answer.value().phase != after);
+    if (foreign) {
+        return fail(error_kind::outcome_unknown, "the answer is of another statement");
+    }
+    return answer;
+}
+
 // A begin that may write succeeds only at the primary, and what follows in its
 // transaction is refused once the member has lost the lead.
 net::awaitable<result<statement_answer>>
--- a/src/libpapayabridge/session/statement_report.cpp
+++ b/src/libpapayabridge/session/statement_report.cpp
@@ -18,7 +18,7 @@
         return facts.took > facts.route.target ? log_event::statement_late
                                                : log_event::statement_answered;
     }
-    if (answer.failure->kind == error_kind::outcome_unknown) {
+    if (answer.failure->kind == error_kind::outcome_unknown && facts.writes) {
         return log_event::statement_in_doubt;
     }
     return answer_of(answer.failure->kind).ran == ran_state::no
--- a/src/libpapayabridge/session/statement_report.hpp
+++ b/src/libpapayabridge/session/statement_report.hpp
@@ -19,6 +19,8 @@
     const request_id& request;
     const database_name& database;
     const pooled_route& route;
+    /// Whether it writes or commits a write.
+    bool writes = false;
     config_version version;
     /// The last member that was tried; empty if none was.
     const member_id& member;
--- a/src/libpapayabridge/session/statement_runner.cpp
+++ b/src/libpapayabridge/session/statement_runner.cpp
@@ -149,6 +149,7 @@
     return {.request = work.one.id,
             .database = session_.database,
             .route = work.route,
+            .writes = work.writes || work.one.verb == statement_verb::commit,
             .version = work.version,
             .member = work.last_member,
             .attempts = work.attempts,
@@ -237,7 +238,8 @@
     std::string bytes;
     services_.members.encode_statement(bytes, work.one, setup.prepared_name, {});
     auto sent = time_with_suspensions();
-    auto answer = co_await exchange(work, connection, std::move(setup), std::move(bytes));
+    auto given = co_await exchange(work, connection, std::move(setup), std::move(bytes));
+    auto answer = own_answer(std::move(given), session_phase::idle);
     if (!answer) {
         if (answer.error().kind == error_kind::unreachable) {
             note_problem(work, member, answer.error());
@@ -289,10 +291,14 @@
         services_.members.encode_rollback(bytes);
     }
     auto sent = time_with_suspensions();
-    auto answer = co_await exchange(work, connection, std::move(setup), std::move(bytes));
+    auto given = co_await exchange(work, connection, std::move(setup), std::move(bytes));
+    auto answer =
+        own_answer(std::move(given),
+                   in_transaction ? session_phase::in_transaction : session_phase::idle);
     if (!answer) {
         // A read may run twice.
         note_problem(work, member, answer.error());
+        co_await rest(work);
         co_return std::nullopt;
     }
     auto& failure = answer.value().failure;
@@ -376,8 +382,12 @@
         std::string bytes;
         services_.members.encode_statement(bytes, work.one, setup.prepared_name, {});
         auto sent = time_with_suspensions();
-        auto answer = co_await exchange(work, transaction.connection, std::move(setup),
-                                        std::move(bytes));
+        auto given = co_await exchange(work, transaction.connection, std::move(setup),
+                                       std::move(bytes));
+        bool commits = work.one.verb == statement_verb::commit;
+        auto answer =
+            own_answer(std::move(given),
+                       commits ? session_phase::idle : session_phase::in_transaction);
         bool busy = answer && answer.value().failure &&
                     answer.value().failure->kind == error_kind::overloaded &&
                     answer.value().phase == session_phase::in_transaction;
--- a/src/libpapayabridge/session/statement_runner.hpp
+++ b/src/libpapayabridge/session/statement_runner.hpp
@@ -120,6 +120,8 @@
                                                       std::string bytes);
     net::awaitable<statement_answer> run_bound(attempt& work,
                                                session_transaction& transaction);
+    static result<statement_answer> own_answer(result<statement_answer> answer,
+                                               session_phase after);
     net::awaitable<statement_answer> end_within(attempt& work,
                                                 session_transaction& transaction,
                                                 result<statement_answer> answer);
--- a/src/libpapayabridge/tools/log.cpp
+++ b/src/libpapayabridge/tools/log.cpp
@@ -50,8 +50,13 @@
     settings.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
     settings.setGlobally(el::ConfigurationType::ToFile, "false");
     el::Loggers::reconfigureAllLoggers(settings);
-    process_log() = &log_pipeline::start(
-        {.process = process, .rates = rates, .sink = write_with_easylogging});
+    write_log_to(&log_pipeline::start(
+        {.process = process, .rates = rates, .sink = write_with_easylogging}));
+}
+
+void write_log_to(log_pipeline* log)
+{
+    process_log() = log;
 }
 
 void log_line(log_event event, log_fields fields)
--- a/src/libpapayabridge/tools/log_pipeline.hpp
+++ b/src/libpapayabridge/tools/log_pipeline.hpp
@@ -62,4 +62,7 @@
     log_queue queue_;
 };
 
+/// Where log_line() writes from now on; nothing is written without one.
+void write_log_to(log_pipeline* log);
+
 } // namespace papayabridge
--- a/src/papayactl/event_commands.cpp
+++ b/src/papayactl/event_commands.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 // A change of primary or of a configuration shows within it.
-constexpr std::uint64_t changes_before_ms = 2000;
+constexpr std::uint64_t changes_within_ms = 2000;
 
 report listed(const gathered_events& gathered)
 {
@@ -91,9 +91,9 @@
 }
 
 report explain_from_logs(const log_lines& all, const std::string& request,
-                         std::uint64_t before_ms)
+                         std::uint64_t within_ms)
 {
-    auto story = story_of(all, request, before_ms);
+    auto story = story_of(all, request, within_ms);
     report found;
     found.machine["request"] = request;
     if (story.own.empty()) {
@@ -143,13 +143,13 @@
     line.asks_fleet_or_logs();
     TCLAP::UnlabeledValueArg<std::string> request("request", "id of the request", true,
                                                   "", "REQUEST", line.line());
-    number_argument before("", "before",
-                           "with --log: changes from so many ms before; default 2000",
+    number_argument within("", "within",
+                           "with --log: changes up to so many ms before and after; default 2000",
                            line.line());
     auto options = line.parse(argc_, argv_);
     if (!line.logs().empty()) {
         return on_logs(line, options, [&](const log_lines& all) {
-            auto ms = before.is_set() ? before.value() : changes_before_ms;
+            auto ms = within.is_set() ? within.value() : changes_within_ms;
             return explain_from_logs(all, request.getValue(), ms);
         });
     }
