--- a/src/libpapayabridge/session/member_pool.cpp
+++ b/src/libpapayabridge/session/member_pool.cpp
@@ -23,6 +23,17 @@
 constexpr unsigned least_share_with_reserve = 3;
 // A part of each member's connections is left to keepers and to entries that join.
 constexpr unsigned spare_connections = 2;
+// Of the others, entries use so many of four: a member counts those of a machine without
+// power for three seconds more, while the next run needs its own.
+constexpr std::size_t used_of_four = 3;
+
+// How many connections to a member each of \p entries may have.
+unsigned share_of(unsigned most_connections, std::size_t entries)
+{
+    auto spare = std::min(most_connections - 1, spare_connections);
+    auto used = (most_connections - spare) * used_of_four / 4;
+    return static_cast<unsigned>(std::max<std::size_t>(1, used / entries));
+}
 
 } // namespace
 
@@ -87,9 +98,7 @@
 {
     std::set<member_id> present;
     for (const auto& [name, service] : view->services) {
-        auto usable = service.limits.most_connections -
-                      std::min(service.limits.most_connections - 1, spare_connections);
-        auto share = std::max<std::size_t>(1, usable / view->entries);
+        auto share = share_of(service.limits.most_connections, view->entries);
         for (const auto& member : service.members) {
             present.insert(member.run.id);
             auto& one = slots_[member.run.id];
@@ -101,7 +110,7 @@
             one.run = member.run;
             one.address = {
                 .endpoint = member.endpoint, .service = name, .id = member.run.id};
-            one.most = static_cast<unsigned>(share);
+            one.most = share;
             if (!member.leaving) {
                 one.health.leaving_since.reset();
             } else if (!one.health.leaving_since) {
--- a/src/libpapayabridge/store/settings_test.cpp
+++ b/src/libpapayabridge/store/settings_test.cpp
@@ -1,6 +1,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <papayabridge/json.hpp>
+#include <papayabridge/log.hpp>
 #include <papayabridge/settings.hpp>
 #include <rapidcheck/gtest.h>
 
@@ -128,4 +129,23 @@
     RC_ASSERT(problems.empty() || problems.starts_with("x.json"));
 }
 
+TEST(settings, rates_of_the_log_are_checked_with_all_others)
+{
+    auto document = settings_document::parse(
+        "f", R"({"log": {"ordinary_a_second": 5, "troubles_a_second": -1, "often": 1}})");
+    settings_section root(document);
+    auto rates = read_log_rates(root);
+    EXPECT_EQ(rates.ordinary, 5u);
+    EXPECT_EQ(rates.changes, log_rates().changes);
+    EXPECT_EQ(document.problems().size(), 2u) << document.problem_text();
+}
+
+TEST(settings, without_rates_the_log_has_its_usual_ones)
+{
+    auto document = settings_document::parse("f", "{}");
+    settings_section root(document);
+    EXPECT_EQ(read_log_rates(root).troubles, log_rates().troubles);
+    EXPECT_TRUE(document.problems().empty()) << document.problem_text();
+}
+
 } // namespace papayabridge
--- a/src/libpapayabridge/tools/log_pipeline.cpp
+++ b/src/libpapayabridge/tools/log_pipeline.cpp
@@ -48,7 +48,7 @@
 void log_pipeline::report_held_back()
 {
     auto now = clock::now();
-    if (!lost_some_ || now - reported_at_ < held_back_period) {
+    if (!lost_some_ || (!flushing_ && now - reported_at_ < held_back_period)) {
         return;
     }
     reported_at_ = now;
@@ -70,7 +70,8 @@
         auto has_lines = [this] { return !queue_.empty(); };
         if (lost_some_) {
             // What was held back is said also when no line follows.
-            changed_.wait_until(lock, reported_at_ + held_back_period, has_lines);
+            changed_.wait_until(lock, reported_at_ + held_back_period,
+                                [&] { return has_lines() || flushing_; });
         } else {
             changed_.wait(lock, [&] { return has_lines() || lost_some_; });
         }
@@ -93,7 +94,8 @@
     std::unique_lock lock(mutex_);
     flushing_ = true;
     changed_.notify_all();
-    changed_.wait_for(lock, patience, [this] { return queue_.empty() && !writing_; });
+    changed_.wait_for(lock, patience,
+                      [this] { return queue_.empty() && !writing_ && !lost_some_; });
     flushing_ = false;
 }
 
--- a/src/libpapayabridge/tools/log_pipeline_test.cpp
+++ b/src/libpapayabridge/tools/log_pipeline_test.cpp
@@ -139,6 +139,19 @@
               10u);
 }
 
+TEST(log_pipeline, a_flush_says_what_was_held_back)
+{
+    piped one({.ordinary = 1});
+    for (unsigned i = 0; i < 5; ++i) {
+        one.log->write(log_event::statement_answered, {});
+        one.log->flush(long_enough);
+    }
+    auto lines = one.reader->lines();
+    EXPECT_EQ(count_of(lines, "statement_answered") +
+                  held_back(lines, "statement_answered"),
+              5u);
+}
+
 TEST(log_pipeline, a_rate_of_zero_writes_nothing)
 {
     piped one({.ordinary = 0});
