--- a/src/libpapayabridge/core/log_story_test.cpp
+++ b/src/libpapayabridge/core/log_story_test.cpp
@@ -50,6 +50,7 @@
 std::vector<std::string> events_of(const std::vector<Json::Value>& lines)
 {
     std::vector<std::string> names;
+    names.reserve(lines.size());
     for (const auto& line : lines) {
         names.push_back(text_of(line, "event"));
     }
