--- a/src/papayactl/event_commands.cpp
+++ b/src/papayactl/event_commands.cpp
@@ -143,9 +143,10 @@
     line.asks_fleet_or_logs();
     TCLAP::UnlabeledValueArg<std::string> request("request", "id of the request", true,
                                                   "", "REQUEST", line.line());
-    number_argument within("", "within",
-                           "with --log: changes up to so many ms before and after; default 2000",
-                           line.line());
+    number_argument within(
+        "", "within",
+        "with --log: changes up to so many ms before and after; default 2000",
+        line.line());
     auto options = line.parse(argc_, argv_);
     if (!line.logs().empty()) {
         return on_logs(line, options, [&](const log_lines& all) {
