--- a/testsuite/unread-log/run.py
+++ b/testsuite/unread-log/run.py
@@ -1,5 +1,6 @@
 """A keeper whose standard output nobody reads goes on answering, and says afterwards how many
-lines it held back: its pipe is full long before the last request."""
+lines it held back: its pipe is full long before the last request. One whose reader is gone
+goes on, too."""
 
 import http.client
 import json
@@ -19,6 +20,7 @@
 # Each is refused with a line of its own of some hundred bytes; a pipe holds 64 KiB and the
 # keeper's own queue 512 KiB.
 REFUSALS = 6000
+REFUSALS_WITHOUT_READER = 500
 ANSWER_SECONDS = 2.0
 START_SECONDS = 20
 STOP_SECONDS = 10
@@ -49,10 +51,10 @@
             time.sleep(0.05)
 
 
-def refuse_many(connection, history):
+def refuse_many(connection, count, history):
     """Sends configurations that name everything wrongly; each must be answered."""
     body = json.dumps({"version": "none", "routes": [{"name": "x" * 40}], "services": 5})
-    for number in range(REFUSALS):
+    for number in range(count):
         connection.request("PUT", "/-/config", body)
         answer = connection.getresponse()
         answer.read()
@@ -77,24 +79,45 @@
         history.violation("other", f"{written} + {held_back} lines of {REFUSALS} refusals")
 
 
+def start(arguments, folder):
+    path = os.path.join(folder, "settings.json")
+    with open(path, "w", encoding="utf-8") as out:
+        json.dump(settings_of(arguments, folder), out)
+    return subprocess.Popen(
+        [os.path.join(arguments.bin, "papayakeeper"), "--settings", path],
+        stdout=subprocess.PIPE)
+
+
+def play_unread(arguments, keeper, history):
+    """Nobody reads until the end; then what was held back is said."""
+    refuse_many(started(arguments.base_port + 1), REFUSALS, history)
+    keeper.terminate()
+    text, _ = keeper.communicate(timeout=STOP_SECONDS)
+    judge_log(text.decode(), history)
+
+
+def play_closed(arguments, keeper, history):
+    """The reader is gone from the start."""
+    keeper.stdout.close()
+    refuse_many(started(arguments.base_port + 1), REFUSALS_WITHOUT_READER, history)
+    if keeper.poll() is not None:
+        history.violation("other", f"ended by itself with {keeper.returncode}")
+    keeper.terminate()
+    code = keeper.wait(timeout=STOP_SECONDS)
+    if code != 0:
+        history.violation("other", f"without a reader: stopped with {code}")
+
+
 def body(arguments):
     history = History()
-    with tempfile.TemporaryDirectory() as folder:
-        path = os.path.join(folder, "settings.json")
-        with open(path, "w", encoding="utf-8") as out:
-            json.dump(settings_of(arguments, folder), out)
-        keeper = subprocess.Popen(
-            [os.path.join(arguments.bin, "papayakeeper"), "--settings", path],
-            stdout=subprocess.PIPE)
-        try:
-            refuse_many(started(arguments.base_port + 1), history)
-            # Reads on from here: what was held back is said at the end.
-            keeper.terminate()
-            text, _ = keeper.communicate(timeout=STOP_SECONDS)
-            judge_log(text.decode(), history)
-        finally:
-            keeper.kill()
-            keeper.wait()
+    for play in (play_unread, play_closed):
+        with tempfile.TemporaryDirectory() as folder:
+            keeper = start(arguments, folder)
+            try:
+                play(arguments, keeper, history)
+            finally:
+                keeper.kill()
+                keeper.wait()
     return history
 
 
