--- a/src/include/papayabridge/log.hpp
+++ b/src/include/papayabridge/log.hpp
@@ -114,7 +114,8 @@
     /// Changes come in series when a part of the fleet fails or a configuration of many
     /// services arrives.
     unsigned changes = 200;
-    /// More than an entry on a quarter of a core refuses in a second at twice its load.
+    /// Above the usual rate of failures; the worst seconds of a flood exceed it
+    /// (LOGS.md).
     unsigned troubles = 200;
     /// A sample.
     unsigned ordinary = 10;
--- a/src/libpapayabridge/core/error_table_page_test.cpp
+++ b/src/libpapayabridge/core/error_table_page_test.cpp
@@ -1,4 +1,5 @@
-#include <fstream>
+#include "core/page_text_test.hpp"
+
 #include <gtest/gtest.h>
 #include <papayabridge/error.hpp>
 #include <sstream>
@@ -8,10 +9,7 @@
 // The operators' page has the row of each kind, as the table has it.
 TEST(error_table_page, has_every_row)
 {
-    std::ifstream in(PAPAYABRIDGE_SOURCE_FOLDER "/docs/OPERATIONS.md");
-    std::ostringstream text;
-    text << in.rdbuf();
-    auto page = text.str();
+    auto page = text_of_file(PAPAYABRIDGE_SOURCE_FOLDER "/docs/OPERATIONS.md");
     for (const auto& row : error_answers()) {
         std::ostringstream line;
         line << "\n| `" << row.name << "` | " << row.http_status << " | "
--- a/src/libpapayabridge/core/log_events_test.cpp
+++ b/src/libpapayabridge/core/log_events_test.cpp
@@ -1,5 +1,5 @@
-#include <filesystem>
-#include <fstream>
+#include "core/page_text_test.hpp"
+
 #include <gtest/gtest.h>
 #include <papayabridge/json.hpp>
 #include <papayabridge/log.hpp>
@@ -11,14 +11,6 @@
 
 namespace {
 
-std::string text_of_file(const std::filesystem::path& file)
-{
-    std::ifstream in(file);
-    std::ostringstream text;
-    text << in.rdbuf();
-    return text.str();
-}
-
 // A call in a source file that begins with an event: log_line() and those like it.
 struct logged
 {
--- a/src/libpapayabridge/core/metric_table_test.cpp
+++ b/src/libpapayabridge/core/metric_table_test.cpp
@@ -1,7 +1,6 @@
 #include "core/metric_table.hpp"
+#include "core/page_text_test.hpp"
 
-#include <filesystem>
-#include <fstream>
 #include <gtest/gtest.h>
 #include <papayabridge/metrics.hpp>
 #include <regex>
@@ -12,14 +11,6 @@
 
 namespace {
 
-std::string text_of_file(const std::filesystem::path& file)
-{
-    std::ifstream in(file);
-    std::ostringstream text;
-    text << in.rdbuf();
-    return text.str();
-}
-
 std::set<std::string> metrics_in_sources()
 {
     static const std::regex use("(counter|gauge|latency)_of\\(\\s*\"(\\w+)\"");
--- a/src/papayactl/event_commands.cpp
+++ b/src/papayactl/event_commands.cpp
@@ -97,9 +97,10 @@
     report found;
     found.machine["request"] = request;
     if (story.own.empty()) {
-        found = failed("Request " + request +
-                       " has no line in these files: it was served in time and is not in "
-                       "the sample, or its entry's file is missing.");
+        found =
+            failed("Request " + request +
+                   " has no line in these files: it was served in time and is not in "
+                   "the sample, its line was held back, or its entry's file is missing.");
     }
     found.text += story.own.empty() ? "" : "Request " + request + ":\n";
     append(found, "own", story.own);
--- a/testsuite/log-walks/run.py
+++ b/testsuite/log-walks/run.py
@@ -1,5 +1,7 @@
 """Runs the walks of docs/OPERATIONS.md from a failed request to its cause: each block marked
-`logwalk` is a command behind "$ " and what it must print, on logs that our fakes wrote."""
+`logwalk` is a command behind "$ " and what it must print, on logs that our fakes wrote.
+The logs of in-doubt/ are joined from two tests: the entry's of session_test, the keeper's of
+promotion_test."""
 
 import argparse
 import os
