--- a/src/papayakeeper/lone_keeper_test.hpp
+++ b/src/papayakeeper/lone_keeper_test.hpp
@@ -80,15 +80,18 @@
 
     void run_until(const std::function<bool()>& holds)
     {
-        constexpr int most_rounds = 2000;
-        for (int round = 0; round < most_rounds && !holds(); ++round) {
-            context.run_for(std::chrono::milliseconds(5));
+        // After each handler, so that a test which relies on more than one fails always.
+        auto end = steady_clock::now() + patience;
+        while (!holds() && steady_clock::now() < end) {
+            context.run_one_for(std::chrono::milliseconds(5));
             context.restart();
         }
         ASSERT_TRUE(holds());
     }
 
 private:
+    static constexpr std::chrono::seconds patience{10};
+
     static keeper_settings settings_for(const std::string& folder)
     {
         keeper_settings settings;
