--- a/src/include/papayabridge/log.hpp
+++ b/src/include/papayabridge/log.hpp
@@ -26,7 +26,8 @@
 enum class log_class
 {
     change,   ///< What the process believes or is connected to changed.
-    trouble,  ///< A request did not go the ordinary way.
+    failure,  ///< A request was answered with an error.
+    trouble,  ///< A request goes on, or was served, but not the ordinary way.
     ordinary, ///< A request was served; a sample of them is kept.
 };
 
@@ -114,8 +115,9 @@
     /// Changes come in series when a part of the fleet fails or a configuration of many
     /// services arrives.
     unsigned changes = 200;
-    /// Above the usual rate of failures; the worst seconds of a flood exceed it
-    /// (LOGS.md).
+    /// What the queue holds: 512 KiB of lines of about 350 bytes.
+    unsigned failures = 1500;
+    /// A busy entry repeats so many statements a second; floods exceed it (LOGS.md).
     unsigned troubles = 200;
     /// A sample.
     unsigned ordinary = 10;
--- a/src/libpapayabridge/core/log_budget_test.cpp
+++ b/src/libpapayabridge/core/log_budget_test.cpp
@@ -36,13 +36,41 @@
 
 TEST(log_budget, events_do_not_use_up_each_others_lines)
 {
-    log_budget budget({.changes = 5, .troubles = 4, .ordinary = 3});
+    log_budget budget({.changes = 5, .failures = 4, .ordinary = 3});
     admitted(budget, log_event::statement_answered, 100, start);
     EXPECT_EQ(admitted(budget, log_event::statement_refused, 10, start), 4u);
     EXPECT_EQ(admitted(budget, log_event::statement_in_doubt, 10, start), 4u);
     EXPECT_EQ(admitted(budget, log_event::primary_known, 10, start), 5u);
 }
 
+// A flood of refused statements beside some that are served.
+TEST(log_budget, a_failure_held_back_leaves_the_next_second_to_failures)
+{
+    log_budget budget({.changes = 5, .failures = 4, .troubles = 3, .ordinary = 3});
+    admitted(budget, log_event::statement_refused, 5, start);
+    EXPECT_FALSE(budget.admit(log_event::statement_answered, start));
+    EXPECT_FALSE(budget.admit(log_event::statement_retried, start + 999ms));
+    EXPECT_TRUE(budget.admit(log_event::primary_known, start + 999ms));
+    EXPECT_TRUE(budget.admit(log_event::statement_in_doubt, start + 999ms));
+    EXPECT_TRUE(budget.admit(log_event::statement_answered, start + 1s));
+}
+
+TEST(log_budget, a_failure_lost_by_a_full_queue_leaves_the_next_second_to_failures)
+{
+    log_budget budget({.failures = 4, .ordinary = 3});
+    budget.count_lost(log_event::statement_failed, start);
+    EXPECT_FALSE(budget.admit(log_event::statement_answered, start + 500ms));
+    EXPECT_TRUE(budget.admit(log_event::statement_answered, start + 1s));
+}
+
+TEST(log_budget, other_lines_held_back_stop_nothing)
+{
+    log_budget budget({.changes = 1, .failures = 4, .troubles = 1, .ordinary = 3});
+    admitted(budget, log_event::primary_known, 5, start);
+    admitted(budget, log_event::statement_retried, 5, start);
+    EXPECT_TRUE(budget.admit(log_event::statement_answered, start));
+}
+
 TEST(log_budget, fills_again_with_time)
 {
     log_budget budget({.changes = 10});
@@ -81,4 +109,23 @@
     RC_ASSERT(written + held_back == pauses.size());
 }
 
+RC_GTEST_PROP(log_budget,
+              no_line_of_a_served_request_within_a_second_of_a_failure_without, ())
+{
+    const auto steps = *rc::gen::container<std::vector<std::pair<bool, unsigned>>>(
+        rc::gen::pair(rc::gen::arbitrary<bool>(), rc::gen::inRange(0U, 300U)));
+    log_budget budget({.failures = 2, .ordinary = 10});
+    auto now = start;
+    std::optional<log_budget::time_point> held_back;
+    for (auto [fails, pause] : steps) {
+        now += std::chrono::milliseconds(pause);
+        bool written = budget.admit(
+            fails ? log_event::statement_refused : log_event::statement_answered, now);
+        RC_ASSERT(fails || !written || !held_back || now >= *held_back + 1s);
+        if (fails && !written) {
+            held_back = now;
+        }
+    }
+}
+
 } // namespace papayabridge
--- a/src/libpapayabridge/core/log_events_test.cpp
+++ b/src/libpapayabridge/core/log_events_test.cpp
@@ -136,7 +136,8 @@
 TEST(log_events, the_page_lists_each_event_with_its_class_and_fields)
 {
     auto page = text_of_file(PAPAYABRIDGE_SOURCE_FOLDER "/docs/LOGS.md");
-    constexpr std::array<std::string_view, 3> classes{"change", "trouble", "ordinary"};
+    constexpr std::array<std::string_view, 4> classes{"change", "failure", "trouble",
+                                                      "ordinary"};
     for (const auto& row : log_events()) {
         std::ostringstream line;
         line << "\n| `" << row.name << "` | "
--- a/src/libpapayabridge/core/log_queue.hpp
+++ b/src/libpapayabridge/core/log_queue.hpp
@@ -39,7 +39,7 @@
     };
 
     std::size_t most_bytes_;
-    std::array<lane, 3> lanes_;
+    std::array<lane, static_cast<std::size_t>(log_class::ordinary) + 1> lanes_;
 };
 
 } // namespace papayabridge
--- a/src/libpapayabridge/core/log_queue_test.cpp
+++ b/src/libpapayabridge/core/log_queue_test.cpp
@@ -17,9 +17,10 @@
 {
     log_queue queue(1000);
     offer(queue, log_event::statement_answered, "ordinary");
-    offer(queue, log_event::statement_refused, "trouble");
+    offer(queue, log_event::statement_retried, "trouble");
+    offer(queue, log_event::statement_refused, "failure");
     offer(queue, log_event::primary_known, "change");
-    EXPECT_EQ(queue.take(1000), "change\ntrouble\nordinary");
+    EXPECT_EQ(queue.take(1000), "change\nfailure\ntrouble\nordinary");
     EXPECT_TRUE(queue.empty());
 }
 
--- a/src/libpapayabridge/tools/log.cpp
+++ b/src/libpapayabridge/tools/log.cpp
@@ -36,6 +36,7 @@
     };
     log_rates rates;
     rates.changes = read("changes_a_second", rates.changes);
+    rates.failures = read("failures_a_second", rates.failures);
     rates.troubles = read("troubles_a_second", rates.troubles);
     rates.ordinary = read("ordinary_a_second", rates.ordinary);
     section.finish();
--- a/src/libpapayabridge/tools/log_pipeline.cpp
+++ b/src/libpapayabridge/tools/log_pipeline.cpp
@@ -26,7 +26,7 @@
 {
     auto text = log_text(event, hybrid_clock::process().tick(), options_.process, fields);
     if (!queue_.offer({.event = event, .text = std::move(text)})) {
-        budget_.count_lost(event);
+        budget_.count_lost(event, clock::now());
         lost_some_ = true;
     }
 }
--- a/src/libpapayabridge/tools/log_pipeline_test.cpp
+++ b/src/libpapayabridge/tools/log_pipeline_test.cpp
@@ -152,6 +152,22 @@
               5u);
 }
 
+// Each failed request has its line; those that are served wait for room.
+TEST(log_pipeline, failures_over_their_rate_are_followed_by_no_ordinary_line)
+{
+    piped one({.failures = 3, .ordinary = 100'000});
+    for (unsigned i = 0; i < 5; ++i) {
+        one.log->write(log_event::statement_refused, {});
+    }
+    one.log->write(log_event::statement_answered, {});
+    one.log->flush(long_enough);
+    auto lines = one.reader->lines();
+    EXPECT_EQ(count_of(lines, "statement_refused"), 3u);
+    EXPECT_EQ(held_back(lines, "statement_refused"), 2u);
+    EXPECT_EQ(count_of(lines, "statement_answered"), 0u);
+    EXPECT_EQ(held_back(lines, "statement_answered"), 1u);
+}
+
 TEST(log_pipeline, a_rate_of_zero_writes_nothing)
 {
     piped one({.ordinary = 0});
