Entries that cannot use a primary refuse at once, and their sessions move

Ruled out: reaching other members (silent) or keepers (lost) from there; more connections. Change: a member that denied to lead is asked again after 100 ms or once the view brings another primary. Where no keeper answers and the primary denies, or where a primary was not usable for 2.5 s, the statement is refused at once as not run, and the session is closed at rest, so that its caller opens one elsewhere (line session_closed).

--- a/src/include/papayabridge/log.hpp
+++ b/src/include/papayabridge/log.hpp
@@ -78,6 +78,7 @@
     promotion_answered,
     primary_changed,
     session_refused,
+    session_closed,
     transaction_ended,
     statement_retried,
     statement_refused,
--- a/src/libpapayabridge/core/log_events.cpp
+++ b/src/libpapayabridge/core/log_events.cpp
@@ -86,6 +86,8 @@
                   "service member token took_us"},
     log_event_row{log_event::session_refused, "session_refused", failure,
                   "database version kind detail"},
+    log_event_row{log_event::session_closed, "session_closed", trouble,
+                  "database detail"},
     log_event_row{log_event::transaction_ended, "transaction_ended", failure,
                   "database service member detail"},
     log_event_row{log_event::statement_retried, "statement_retried", trouble,
--- a/src/libpapayabridge/session/caller_session.cpp
+++ b/src/libpapayabridge/session/caller_session.cpp
@@ -69,6 +69,16 @@
     return services_.view->route(state_.database);
 }
 
+// A caller whose session was closed at rest opens another one, mostly at another entry.
+void caller_session::note_leaving() const
+{
+    if (state_.is_better_elsewhere) {
+        log_line(log_event::session_closed,
+                 {{"database", state_.database.str()},
+                  {"detail", "its primary cannot be used from here"}});
+    }
+}
+
 net::awaitable<result<caller_message>> caller_session::next_message()
 {
     while (true) {
@@ -162,7 +172,9 @@
     set_statement_options(socket_);
     bool open_session = co_await open();
     while (open_session) {
-        if (registry_.closes_at_rest && is_at_rest() && input_.empty()) {
+        bool leaves = registry_.closes_at_rest || state_.is_better_elsewhere;
+        if (leaves && is_at_rest() && input_.empty()) {
+            note_leaving();
             break;
         }
         auto message = co_await next_message();
--- a/src/libpapayabridge/session/caller_session.hpp
+++ b/src/libpapayabridge/session/caller_session.hpp
@@ -52,6 +52,7 @@
     void end_transaction();
     void watch_idle_transaction();
     const pooled_route* route() const;
+    void note_leaving() const;
 
     tcp::socket socket_;
     session_services& services_;
--- a/src/libpapayabridge/session/member_pool.cpp
+++ b/src/libpapayabridge/session/member_pool.cpp
@@ -98,6 +98,10 @@
             one.address = {
                 .endpoint = member.endpoint, .service = name, .id = member.run.id};
             one.most = share;
+            if (one.primary_changes != service.primary_changes) {
+                one.primary_changes = service.primary_changes;
+                one.health.denies_lead_until = {};
+            }
             if (!member.leaving) {
                 one.health.leaving_since.reset();
             } else if (!one.health.leaving_since) {
@@ -132,6 +136,29 @@
     return may_use_connection(one.most, in_use, rank);
 }
 
+// Why the member is not asked for a connection now.
+std::optional<error> member_pool::obstacle(const slot& one,
+                                           const connection_request& request)
+{
+    auto now = steady_clock::now();
+    const auto& id = one.address.id.str();
+    if (one.gone || now < one.health.avoid_until) {
+        return fail(error_kind::unreachable, id + " is not usable");
+    }
+    if (request.needs_primary && now < one.health.denies_lead_until) {
+        return fail(error_kind::superseded, id + " does not lead");
+    }
+    if (!may_use(one, request.rank)) {
+        return fail(error_kind::overloaded, "all connections to " + id + " are in use");
+    }
+    return std::nullopt;
+}
+
+bool member_pool::denies_lead(const member_id& member)
+{
+    return steady_clock::now() < health(member).denies_lead_until;
+}
+
 std::unique_ptr<member_connection> member_pool::take_idle(slot& from,
                                                           const session_values& session)
 {
@@ -181,13 +208,12 @@
     for (const auto& member : request.members) {
         auto* one = find(member);
         auto now = steady_clock::now();
-        if (one == nullptr || one->gone || now < one->health.avoid_until) {
-            failure = fail(error_kind::unreachable, member.str() + " is not usable");
+        if (one == nullptr) {
+            failure = fail(error_kind::unreachable, member.str() + " is not known");
             continue;
         }
-        if (!may_use(*one, request.rank)) {
-            failure = fail(error_kind::overloaded,
-                           "all connections to " + member.str() + " are in use");
+        if (auto why = obstacle(*one, request)) {
+            failure = std::move(*why);
             continue;
         }
         auto idle = take_idle(*one, *request.session);
@@ -223,6 +249,9 @@
         auto* one = find(member);
         if (one != nullptr) {
             auto again = std::max(one->health.avoid_until, one->full_until);
+            if (request.needs_primary) {
+                again = std::max(again, one->health.denies_lead_until);
+            }
             until = again > steady_clock::now() ? std::min(until, again) : until;
         }
     }
@@ -244,7 +273,7 @@
         bool wants = std::find(wanted.begin(), wanted.end(), member) != wanted.end();
         bool free = !(*one)->granted;
         auto* from = find(member);
-        bool may = from == nullptr || may_use(*from, (*one)->request->rank);
+        bool may = from == nullptr || !obstacle(*from, *(*one)->request);
         if (wants && free && may &&
             (best == waiters_.end() || (*one)->request->rank < (*best)->request->rank))
         {
--- a/src/libpapayabridge/session/member_pool.hpp
+++ b/src/libpapayabridge/session/member_pool.hpp
@@ -47,6 +47,8 @@
     const session_values* session = nullptr;
     /// 0 is the most urgent.
     unsigned rank = 0;
+    /// Whether only the primary can run it.
+    bool needs_primary = false;
     /// Give up waiting then.
     time_point wait_until;
 };
@@ -61,6 +63,8 @@
     std::optional<time_point> writes_failing_since;
     /// Not used before.
     time_point avoid_until;
+    /// It said that it is not the primary; not asked for what needs one before.
+    time_point denies_lead_until;
     /// Refused a read as not fresh enough; not asked for \p reached or more before.
     time_point behind_until;
     /// How far its log had come then.
@@ -88,6 +92,8 @@
     /// something changed, so that the caller chooses its members again.
     net::awaitable<result<pooled_connection>> take(connection_request request);
 
+    /// Whether \p member said not long ago that it is not the primary.
+    bool denies_lead(const member_id& member);
     /// Of a member that is not known, a record that nobody uses.
     member_health& health(const member_id& member);
     /// A statement to the member got its answer.
@@ -115,6 +121,8 @@
         unsigned most = 1;
         /// The member refused more connections; none is opened before.
         time_point full_until;
+        /// Changes of primary that its service has had.
+        std::uint64_t primary_changes = 0;
         member_health health;
     };
     struct waiter
@@ -128,6 +136,8 @@
 
     slot* find(const member_id& member);
     static bool may_use(const slot& one, unsigned rank);
+    static std::optional<error> obstacle(const slot& one,
+                                         const connection_request& request);
     std::unique_ptr<member_connection> take_idle(slot& from,
                                                  const session_values& session);
     net::awaitable<result<pooled_connection>> open(member_id member, time_point deadline);
--- a/src/libpapayabridge/session/session_entry.cpp
+++ b/src/libpapayabridge/session/session_entry.cpp
@@ -178,6 +178,7 @@
         } else {
             co_await pause(watch_retry);
         }
+        services_.follows_keepers = bool(update);
         if (bool(update) != in_touch) {
             in_touch = bool(update);
             note_contact(update);
--- a/src/libpapayabridge/session/statement_runner.cpp
+++ b/src/libpapayabridge/session/statement_runner.cpp
@@ -15,6 +15,12 @@
 constexpr int wait_part = 4;
 // Before a statement that a member refused is tried again at the same member.
 constexpr std::chrono::milliseconds retry_pause{10};
+// A member that denied to be the primary is asked again after so long, unless news of the
+// primary come before; longer than an answer from another region takes.
+constexpr std::chrono::milliseconds denied_for{100};
+// A change of primary takes less from its first failure on; one that is not usable for so
+// long was not replaced because others can use it, or because nobody can lead.
+constexpr std::chrono::milliseconds unusable_for{2500};
 // A replica that was behind is asked again after so long.
 constexpr std::chrono::milliseconds behind_for{60};
 
@@ -121,13 +127,33 @@
     return where;
 }
 
+// Whether only a primary can run it, and this entry has none and expects none soon: the
+// one that it knows was replaced and no news of another can come, or it has not been
+// usable for longer than a change of primary takes.
+bool statement_runner::is_unservable(const attempt& work, const placement& where) const
+{
+    const auto* service = services_.view->service(work.route.service);
+    if (where.at_least || service == nullptr) {
+        return false;
+    }
+    bool replaced =
+        !services_.follows_keepers && services_.pool.denies_lead(service->primary);
+    const auto& failing = services_.pool.health(service->primary).failing_since;
+    return replaced || (failing && steady_clock::now() - *failing > unusable_for);
+}
+
 net::awaitable<pooled_connection> statement_runner::take(attempt& work,
                                                          const placement& where)
 {
+    work.is_unservable = is_unservable(work, where);
+    if (work.is_unservable) {
+        work.wait_until = steady_clock::now();
+    }
     connection_request request{.service = work.route.service,
                                .members = where.members,
                                .session = &session_.values,
                                .rank = work.route.rank,
+                               .needs_primary = !where.at_least,
                                .wait_until = work.wait_until};
     work.last_needed = where.at_least;
     auto began = steady_clock::now();
@@ -182,6 +208,9 @@
         health.behind_until = now + behind_for;
         health.reached = reached.value_or(position());
     }
+    if (problem.kind == error_kind::superseded) {
+        services_.pool.health(member).denies_lead_until = now + denied_for;
+    }
     if (!did_not_run(problem.kind)) {
         // It was offered to a member, so it is worth another one's time.
         auto longer = now + work.route.target / wait_part;
@@ -197,9 +226,10 @@
     }
 }
 
-statement_answer statement_runner::refused(const attempt& work) const
+statement_answer statement_runner::give_up(const attempt& work, session_phase phase)
 {
-    return failed_answer(work.last_problem, session_phase::idle);
+    session_.is_better_elsewhere = work.is_unservable;
+    return failed_answer(work.last_problem, phase);
 }
 
 net::awaitable<statement_answer> statement_runner::run_single(const statement& one,
@@ -224,7 +254,7 @@
             co_return std::move(*answer);
         }
     } while (may_go_on(work));
-    co_return refused(work);
+    co_return give_up(work, session_phase::idle);
 }
 
 net::awaitable<std::optional<statement_answer>> statement_runner::try_write(attempt& work)
@@ -363,7 +393,7 @@
         bound = co_await bind(work, transaction);
         if (!bound && !may_go_on(work)) {
             transaction.failed = true;
-            auto answer = failed_answer(work.last_problem, session_phase::failed);
+            auto answer = give_up(work, session_phase::failed);
             report_end(work, answer);
             co_return answer;
         }
--- a/src/libpapayabridge/session/statement_runner.hpp
+++ b/src/libpapayabridge/session/statement_runner.hpp
@@ -21,6 +21,8 @@
     /// Positions of each service's primary.
     std::map<service_name, position_samples> samples;
     statement_report& report;
+    /// Whether news of the control state arrive.
+    bool follows_keepers = true;
 };
 
 /// A session's state between statements.
@@ -30,6 +32,8 @@
     session_values values;
     /// Position of its last acknowledged commit.
     std::optional<position> last_commit;
+    /// A statement was refused that other entries may serve, but not this one.
+    bool is_better_elsewhere = false;
 };
 
 /// An open transaction.
@@ -91,6 +95,8 @@
         /// Members that failed this statement, tried again only after all others.
         std::set<member_id> failed_at;
         error last_problem{error_kind::no_primary, "no member can serve it"};
+        /// Not expected to become possible here soon.
+        bool is_unservable = false;
     };
     /// Where a read may run.
     struct placement
@@ -105,6 +111,7 @@
     bool may_go_on(const attempt& work) const;
     placement place(const attempt& work, bool needs_primary) const;
     std::optional<position> needed_position(const attempt& work) const;
+    bool is_unservable(const attempt& work, const placement& where) const;
     net::awaitable<pooled_connection> take(attempt& work, const placement& where);
     net::awaitable<void> rest(attempt& work);
 
@@ -125,7 +132,7 @@
     net::awaitable<statement_answer> end_within(attempt& work,
                                                 session_transaction& transaction,
                                                 result<statement_answer> answer);
-    statement_answer refused(const attempt& work) const;
+    statement_answer give_up(const attempt& work, session_phase phase);
     statement_facts facts(const attempt& work) const;
     void report_end(const attempt& work, const statement_answer& answer);
     void note_problem(attempt& work, const member_id& member, const error& problem,
