--- a/src/include/papayabridge/keeper_client.hpp
+++ b/src/include/papayabridge/keeper_client.hpp
@@ -79,9 +79,11 @@
 class keeper_client
 {
 public:
-    /// \p keepers, nearest first.
+    /// \p keepers, nearest first. While another one is used, the nearest is tried again
+    /// each \p nearest_rest.
     keeper_client(net::any_io_executor executor, std::shared_ptr<rpc_clients> clients,
-                  std::vector<tcp::endpoint> keepers);
+                  std::vector<tcp::endpoint> keepers,
+                  std::chrono::milliseconds nearest_rest = std::chrono::seconds(5));
 
     /// Has \p change accepted or refused. Resends it, as all commands are idempotent or
     /// compare a base. Errors: `no_quorum`, `unreachable`, `storage_failed`;
@@ -107,14 +109,27 @@
     const std::vector<tcp::endpoint>& keepers() const noexcept { return keepers_; }
 
 private:
+    /// Which keeper is asked.
+    struct preference
+    {
+        std::size_t current = 0;
+        time_point try_nearest_at;
+        bool is_trying = false;
+    };
+
+    static net::awaitable<void> try_nearest(std::shared_ptr<rpc_clients> clients,
+                                            tcp::endpoint nearest,
+                                            std::shared_ptr<preference> preferred,
+                                            std::chrono::milliseconds rest);
     void go_to_next();
     const tcp::endpoint& preferred();
 
     net::any_io_executor executor_;
     std::shared_ptr<rpc_clients> clients_;
     std::vector<tcp::endpoint> keepers_;
-    std::size_t current_ = 0;
-    time_point try_nearest_at_;
+    std::chrono::milliseconds nearest_rest_;
+    /// Shared with trials that are under way; another one for other keepers.
+    std::shared_ptr<preference> preference_ = std::make_shared<preference>();
 };
 
 } // namespace papayabridge
--- a/src/libpapayabridge/net/keeper_client.cpp
+++ b/src/libpapayabridge/net/keeper_client.cpp
@@ -17,8 +17,6 @@
 constexpr std::chrono::milliseconds watch_grace{700};
 constexpr std::chrono::milliseconds status_timeout{1000};
 constexpr std::chrono::milliseconds tell_timeout{300};
-// How long another keeper is used before the nearest is tried again.
-constexpr std::chrono::seconds nearest_rest{5};
 
 // Errors that another keeper, or a later attempt, may not give.
 bool is_worth_resending(error_kind kind)
@@ -53,31 +51,56 @@
 
 keeper_client::keeper_client(net::any_io_executor executor,
                              std::shared_ptr<rpc_clients> clients,
-                             std::vector<tcp::endpoint> keepers)
+                             std::vector<tcp::endpoint> keepers,
+                             std::chrono::milliseconds nearest_rest)
     : executor_(std::move(executor)), clients_(std::move(clients)),
-      keepers_(std::move(keepers))
+      keepers_(std::move(keepers)), nearest_rest_(nearest_rest)
 {
 }
 
 void keeper_client::go_to_next()
 {
-    current_ = (current_ + 1) % keepers_.size();
-    try_nearest_at_ = steady_clock::now() + nearest_rest;
+    preference_->current = (preference_->current + 1) % keepers_.size();
+    preference_->try_nearest_at = steady_clock::now() + nearest_rest_;
+}
+
+// Beside the calls to the present keeper: the nearest may be gone for good, and news must
+// not wait for its silence.
+net::awaitable<void> keeper_client::try_nearest(std::shared_ptr<rpc_clients> clients,
+                                                tcp::endpoint nearest,
+                                                std::shared_ptr<preference> preferred,
+                                                std::chrono::milliseconds rest)
+{
+    rpc_message request;
+    auto deadline = steady_clock::now() + status_timeout;
+    auto answer =
+        co_await clients->to(nearest).call("keeper.status", std::move(request), deadline);
+    preferred->is_trying = false;
+    preferred->try_nearest_at = steady_clock::now() + rest;
+    auto status = answer ? keeper_status_from(answer.value().body) : answer.error();
+    if (status && !status.value().leader.empty()) {
+        preferred->current = 0;
+    }
 }
 
 const tcp::endpoint& keeper_client::preferred()
 {
-    if (current_ != 0 && steady_clock::now() >= try_nearest_at_) {
-        current_ = 0;
+    auto& known = *preference_;
+    bool is_due = known.current != 0 && steady_clock::now() >= known.try_nearest_at;
+    if (is_due && !known.is_trying) {
+        known.is_trying = true;
+        net::co_spawn(executor_,
+                      try_nearest(clients_, keepers_.front(), preference_, nearest_rest_),
+                      net::detached);
     }
-    return keepers_[current_];
+    return keepers_[known.current];
 }
 
 void keeper_client::use(std::vector<tcp::endpoint> keepers)
 {
     if (keepers != keepers_) {
         keepers_ = std::move(keepers);
-        current_ = 0;
+        preference_ = std::make_shared<preference>();
     }
 }
 
@@ -102,7 +125,7 @@
     request.body["command"] = to_value(change);
     auto failure = fail(error_kind::unreachable, "no keeper is known");
     bool may_be_accepted = false;
-    std::size_t next = current_;
+    std::size_t next = preference_->current;
     while (!keepers_.empty()) {
         auto& client = clients_->to(keepers_[next % keepers_.size()]);
         auto until = std::min(deadline, steady_clock::now() + propose_attempt);
--- /dev/null
+++ b/src/libpapayabridge/net/keeper_client_test.cpp
@@ -0,0 +1,95 @@
+#include "net/run_awaitable.hpp"
+
+#include <gtest/gtest.h>
+#include <papayabridge/keeper_client.hpp>
+
+namespace papayabridge {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const token_codec fleet_key("fleet key of the test");
+
+// A keeper that answers each watch with the index it holds.
+class small_keeper
+{
+public:
+    small_keeper(net::io_context& context, tcp::endpoint listen, std::uint64_t applied)
+        : server_(context.get_executor(), listen, fleet_key)
+    {
+        server_.method("keeper.watch", [applied](rpc_message) {
+            watch_update update;
+            update.applied = control_index(applied);
+            update.leader_known = true;
+            return answer(to_value(update));
+        });
+        server_.method("keeper.status", [](rpc_message) {
+            return answer(to_value(keeper_status{.leader = keeper_id("k")}));
+        });
+        EXPECT_TRUE(server_.start());
+    }
+    tcp::endpoint place() const { return server_.local(); }
+
+private:
+    static net::awaitable<result<rpc_message>> answer(Json::Value body)
+    {
+        rpc_message message;
+        message.body = std::move(body);
+        co_return message;
+    }
+
+    rpc_server server_;
+};
+
+class keeper_client_test : public testing::Test
+{
+protected:
+    // An address where nobody listens.
+    tcp::endpoint free_place()
+    {
+        tcp::acceptor acceptor(context,
+                               tcp::endpoint(net::ip::make_address("127.0.0.1"), 0));
+        return acceptor.local_endpoint();
+    }
+
+    // The index that the keeper asked holds; nothing if it gave no answer.
+    std::optional<std::uint64_t> watch(keeper_client& client)
+    {
+        auto update = run_awaitable(
+            context, client.watch(control_index(), 10ms, {.id = entry_id("e")}, false));
+        return update ? std::optional(update.value().applied.value()) : std::nullopt;
+    }
+
+    net::io_context context;
+    std::shared_ptr<rpc_clients> clients = std::make_shared<rpc_clients>(
+        context.get_executor(), std::make_shared<link_table>(), fleet_key);
+};
+
+} // namespace
+
+TEST_F(keeper_client_test, a_nearest_keeper_that_is_gone_for_good_costs_one_call)
+{
+    small_keeper far(context, {net::ip::make_address("127.0.0.1"), 0}, 7);
+    keeper_client client(context.get_executor(), clients, {free_place(), far.place()},
+                         1ms);
+    EXPECT_FALSE(watch(client));
+    for (int call = 0; call < 20; ++call) {
+        EXPECT_EQ(watch(client), 7u);
+    }
+}
+
+TEST_F(keeper_client_test, the_nearest_keeper_is_used_again_once_it_answers)
+{
+    small_keeper far(context, {net::ip::make_address("127.0.0.1"), 0}, 7);
+    auto place = free_place();
+    keeper_client client(context.get_executor(), clients, {place, far.place()}, 1ms);
+    EXPECT_FALSE(watch(client));
+    small_keeper near(context, place, 8);
+    auto until = steady_clock::now() + 20s;
+    while (watch(client) != 8u && steady_clock::now() < until) {
+    }
+    EXPECT_EQ(watch(client), 8u);
+}
+
+} // namespace papayabridge
