A primary that failed once long ago is waited for

Cause, found in the last reading: failing_since stays until the member is used again, so that the first statement after a pause was refused at its first "no slot free".

--- a/src/libpapayabridge/session/statement_runner.cpp
+++ b/src/libpapayabridge/session/statement_runner.cpp
@@ -21,6 +21,8 @@
 // A change of primary takes less from its first failure on; one that is not usable for so
 // long was not replaced because others can use it, or because nobody can lead.
 constexpr std::chrono::milliseconds unusable_for{2500};
+// Under load a member is tried more often than this; a failure before it may be over.
+constexpr std::chrono::milliseconds failure_validity{1000};
 // A replica that was behind is asked again after so long.
 constexpr std::chrono::milliseconds behind_for{60};
 
@@ -138,8 +140,11 @@
     }
     bool replaced =
         !services_.follows_keepers && services_.pool.denies_lead(service->primary);
-    const auto& failing = services_.pool.health(service->primary).failing_since;
-    return replaced || (failing && steady_clock::now() - *failing > unusable_for);
+    const auto& health = services_.pool.health(service->primary);
+    auto now = steady_clock::now();
+    bool unusable = health.failing_since && now - *health.failing_since > unusable_for &&
+                    now - health.last_failure < failure_validity;
+    return replaced || unusable;
 }
 
 net::awaitable<pooled_connection> statement_runner::take(attempt& work,
