--- a/src/libpapayabridge/session/statement_runner.cpp
+++ b/src/libpapayabridge/session/statement_runner.cpp
@@ -166,7 +166,7 @@
     work.waited += steady_clock::now() - began;
     if (!taken) {
         if (!where.members.empty()) {
-            work.last_problem = taken.error();
+            set_problem(work, taken.error());
         }
         co_return pooled_connection();
     }
@@ -201,11 +201,19 @@
     co_await timer.async_wait(net::as_tuple(net::use_awaitable));
 }
 
+// The answer says "not run" only if that holds for every try.
+void statement_runner::set_problem(attempt& work, const error& problem)
+{
+    if (!work.may_have_run || !did_not_run(problem.kind)) {
+        work.last_problem = problem;
+    }
+}
+
 void statement_runner::note_problem(attempt& work, const member_id& member,
                                     const error& problem, std::optional<position> reached)
 {
     auto now = steady_clock::now();
-    work.last_problem = problem;
+    set_problem(work, problem);
     work.failed_at.insert(member);
     services_.report.tried(facts(work), problem, reached);
     if (problem.kind == error_kind::behind) {
@@ -332,6 +340,7 @@
                    in_transaction ? session_phase::in_transaction : session_phase::idle);
     if (!answer) {
         // A read may run twice.
+        work.may_have_run = true;
         note_problem(work, member, answer.error());
         co_await rest(work);
         co_return std::nullopt;
--- a/src/libpapayabridge/session/statement_runner.hpp
+++ b/src/libpapayabridge/session/statement_runner.hpp
@@ -95,6 +95,8 @@
         /// Members that failed this statement, tried again only after all others.
         std::set<member_id> failed_at;
         error last_problem{error_kind::no_primary, "no member can serve it"};
+        /// A try may have run at a member; what is tried later does not change that.
+        bool may_have_run = false;
         /// Not expected to become possible here soon.
         bool is_unservable = false;
     };
@@ -135,6 +137,7 @@
     statement_answer give_up(const attempt& work, session_phase phase);
     statement_facts facts(const attempt& work) const;
     void report_end(const attempt& work, const statement_answer& answer);
+    static void set_problem(attempt& work, const error& problem);
     void note_problem(attempt& work, const member_id& member, const error& problem,
                       std::optional<position> reached = {});
     void sample(const attempt& work, position_samples::time sent,
