fault-matrix: a second keeper loses its disk only after the first holds the state again

Cause 1, from the logs of the failed fleet: all three keepers had joined as learners. The cell before on that lane, lost disk / rejoin, takes the disk of a keeper and, 0 to 300 ms after it started again, that of the leader; then nobody has a majority, no primary can be changed, and the next cell fails for it. Two disks within the repair are more than the one that is borne: of six fleets with 0 to 250 ms between the two, those with 0 and 50 ms had no leader again within 8 s. Cause 2: Fleet.control_state() took the state of the first keeper that answers; one that has just come back empty answers with an empty one (932 of 10,869 answers while a keeper rejoined; 0 of 2,595 now), and next() without a default raised without a word. Change: a keeper's disk goes only once every keeper votes; each cell ends with the check that they do, which is new; the newest state of all that answer is taken; the error says what is missing.

--- a/testsuite/fault-matrix/cell.py
+++ b/testsuite/fault-matrix/cell.py
@@ -48,6 +48,7 @@
             self._stop_changes()
             load.stop()
         self._prove_service(prefix)
+        self._prove_control()
         self.history.judge(self.fleet)
         self._judge_configuration()
         return self.history.violations
@@ -71,12 +72,21 @@
                     "other", f"no write through {entry.name}: {done.errors[-1:]}")
         caller.close()
 
+    def _prove_control(self):
+        """The keepers lead again, so that the next cell starts whole."""
+        try:
+            self.fleet.wait_for_voters()
+        except FleetError as failed:
+            self.history.violation("other", f"the keepers did not recover: {failed}")
+
     # --- Where things are ---
 
     def _record(self):
         state = self.fleet.control_state()
-        return next(d for d in state["databases"]
-                    if d["database"].endswith("/" + self.database))
+        for record in state["databases"]:
+            if record["database"].endswith("/" + self.database):
+                return record
+        raise FleetError(f"the keepers know no database {self.database}")
 
     def _entry(self, ident):
         return next((e for e in self.fleet.entries if e.name == ident), None)
--- a/testsuite/fault-matrix/faults.py
+++ b/testsuite/fault-matrix/faults.py
@@ -32,6 +32,9 @@
 
 
 def lose_disk(cell, target):
+    """A keeper's disk goes only once all others hold the state: one is borne at a time."""
+    if target in cell.fleet.keepers:
+        cell.fleet.wait_for_voters()
     target.kill()
     target.lose_disk()
     time.sleep(LASTS_S)
--- a/testsuite/lib/fleet.py
+++ b/testsuite/lib/fleet.py
@@ -271,7 +271,9 @@
     # --- State ---
 
     def control_state(self):
-        """The keepers' replicated state, from any that answers."""
+        """The keepers' replicated state: the newest of those that answer, as one that has
+        just come back without its disk answers with an empty one."""
+        newest = None
         for keeper in self.keepers:
             if not keeper.running() or keeper.frozen():
                 continue
@@ -280,13 +282,23 @@
                                       {"from": AHEAD_OF_ALL, "wait_ms": 0})
             except rpc.RpcError:
                 continue
-            if "snapshot" in answer:
-                return answer["snapshot"]
-        raise FleetError("no keeper gives its state")
+            is_newer = newest is None or answer["applied"] > newest["applied"]
+            if "snapshot" in answer and is_newer:
+                newest = answer
+        if newest is None:
+            raise FleetError("no keeper gives its state")
+        return newest["snapshot"]
 
     def keeper_status(self, keeper):
         return rpc.rpc_call(keeper.address, FLEET_KEY, "keeper.status", {})
 
+    def wait_for_voters(self):
+        """Waits until every keeper takes part with all of the state."""
+        def all_vote():
+            roles = [self.keeper_status(keeper).get("role") for keeper in self.keepers]
+            return "leader" in roles and set(roles) <= {"leader", "follower"}
+        wait_until(all_vote, READY_SECONDS, "every keeper votes")
+
     def leader(self):
         """The keeper that leads, or None."""
         for keeper in self.keepers:
