Gates for sessions: a member's connections belong to few entries

Cause: each entry had max(1, 3/4 of the limit / entries) connections to each member: one at 75 to 94 entries, for one statement or idle transaction at a time.

Change: where an entry's share would be under three, each member has one or two gates, entries of its failure domain by rendezvous hashing, that hold its connections and its queue and run other entries' statements over one kept connection. The exchange with members moved behind member_access, which has a local and a remote implementation. Statements that a stopped or suspended gate did not run are refused as not run; those without an answer are in doubt.

--- /dev/null
+++ b/src/libpapayabridge/core/gate_placement.cpp
@@ -0,0 +1,103 @@
+#include "gate_placement.hpp"
+
+#include "connection_share.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <xxhash.h>
+
+namespace papayabridge {
+
+namespace {
+
+// With a smaller share one idle transaction takes half or all of an entry's connections.
+constexpr unsigned min_direct_share = 3;
+// A second gate takes over at once if the first fails; more would divide the queue, whose
+// order is only known within one gate.
+constexpr std::size_t max_gates = 2;
+// Connections per member that are left to keepers.
+constexpr unsigned reserved_connections = 2;
+// A gate keeps one statement more than its slots at the member, so that a slot is not
+// idle for the round trip.
+constexpr unsigned statements_ahead = 1;
+
+std::uint64_t hash_of(const entry_id& entry, const member_id& member)
+{
+    return XXH64(member.str().data(), member.str().size(),
+                 XXH64(entry.str().data(), entry.str().size(), 0));
+}
+
+unsigned divide_rounding_up(unsigned amount, std::size_t parts)
+{
+    return static_cast<unsigned>((amount + parts - 1) / parts);
+}
+
+} // namespace
+
+bool needs_gates(unsigned max_connections, std::size_t entry_count)
+{
+    return connection_share(max_connections, std::max<std::size_t>(1, entry_count)) <
+           min_direct_share;
+}
+
+std::size_t gate_count(std::size_t entry_count, std::size_t member_count)
+{
+    return std::clamp<std::size_t>(entry_count / std::max<std::size_t>(1, member_count),
+                                   1, max_gates);
+}
+
+gate_limits limits_of_gate(unsigned max_connections, unsigned member_slots,
+                           std::size_t gates)
+{
+    auto usable = max_connections - std::min(max_connections - 1, reserved_connections);
+    auto connections = static_cast<unsigned>(usable / (gates + 1));
+    return {.connections = std::max(1U, connections),
+            .slots =
+                divide_rounding_up(std::max(1U, member_slots), gates) + statements_ahead};
+}
+
+std::vector<entry_id> order_gates(const member_id& member,
+                                  std::vector<gate_candidate> candidates)
+{
+    using scored = std::tuple<unsigned, std::uint64_t, const entry_id*>;
+    std::vector<scored> scores;
+    scores.reserve(candidates.size());
+    for (const auto& candidate : candidates) {
+        scores.emplace_back(candidate.distance, hash_of(candidate.entry, member),
+                            &candidate.entry);
+    }
+    std::sort(scores.begin(), scores.end(), [](const auto& a, const auto& b) {
+        auto key = [](const scored& row) {
+            return std::tie(std::get<0>(row), std::get<1>(row), *std::get<2>(row));
+        };
+        return key(a) < key(b);
+    });
+    std::vector<entry_id> ordered;
+    ordered.reserve(scores.size());
+    for (const auto& row : scores) {
+        ordered.push_back(*std::get<2>(row));
+    }
+    return ordered;
+}
+
+std::vector<entry_id> choose_gates(const entry_id& caller, const member_id& member,
+                                   const std::vector<entry_id>& ordered,
+                                   std::size_t gates, std::size_t max_choices)
+{
+    auto count = std::min(gates, ordered.size());
+    std::vector<entry_id> chosen(ordered.begin(),
+                                 ordered.begin() + static_cast<std::ptrdiff_t>(count));
+    auto self = std::find(chosen.begin(), chosen.end(), caller);
+    auto first = self != chosen.end() || chosen.empty()
+                     ? self
+                     : chosen.begin() + static_cast<std::ptrdiff_t>(
+                                            hash_of(caller, member) % chosen.size());
+    std::rotate(chosen.begin(), first, chosen.end());
+    for (auto at = count; at < ordered.size() && chosen.size() < max_choices; ++at) {
+        chosen.push_back(ordered[at]);
+    }
+    chosen.resize(std::min(chosen.size(), max_choices));
+    return chosen;
+}
+
+} // namespace papayabridge
--- a/src/libpapayabridge/core/metric_table.cpp
+++ b/src/libpapayabridge/core/metric_table.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<metric_row, 21> rows{{
+constexpr std::array<metric_row, 22> rows{{
     {"papaya_configuration_version", "gauge", "version", "",
      "Configuration in force at an entry, or held by a keeper"},
     {"papaya_control_index", "gauge", "commands", "",
@@ -18,6 +18,8 @@
     {"papaya_gate_leases", "gauge", "leases", "", "Primaries' leases held here"},
     {"papaya_gate_running", "gauge", "statements", "",
      "Statements that members run for gates here"},
+    {"papaya_gate_transactions", "gauge", "transactions", "",
+     "Transactions that other entries have open at gates here"},
     {"papaya_gate_waiting", "gauge", "statements", "", "Statements queued at gates here"},
     {"papaya_keeper_leads", "gauge", "0 or 1", "", "Whether this keeper leads"},
     {"papaya_link_received_bytes", "gauge", "bytes", "region cause",
--- a/src/libpapayabridge/session/caller_session.cpp
+++ b/src/libpapayabridge/session/caller_session.cpp
@@ -343,9 +343,6 @@
 void caller_session::end_transaction()
 {
     idle_timer_.cancel();
-    if (transaction_ && transaction_->connection) {
-        roll_back_and_release(services_, std::move(transaction_->connection), false);
-    }
     transaction_.reset();
 }
 
@@ -354,7 +351,7 @@
 void caller_session::start_idle_timer()
 {
     auto limit = services_.view->configuration.transaction_idle_limit;
-    if (!transaction_ || !transaction_->connection || limit.count() == 0) {
+    if (!transaction_ || !transaction_->at_member || limit.count() == 0) {
         return;
     }
     idle_timer_.expires_after(limit);
@@ -362,7 +359,7 @@
                                 weak_from_this()](boost::system::error_code cancelled) {
         auto self = weak_self.lock();
         if (cancelled || !self || self->running_ || !self->transaction_ ||
-            !self->transaction_->connection)
+            !self->transaction_->at_member)
         {
             return;
         }
@@ -370,9 +367,9 @@
         log_line(log_event::transaction_ended,
                  {{"database", self->state_.database.str()},
                   {"service", transaction.route.service.str()},
-                  {"member", transaction.connection.member().str()},
+                  {"member", transaction.at_member->member().str()},
                   {"detail", "it was idle for too long"}});
-        roll_back_and_release(self->services_, std::move(transaction.connection), false);
+        transaction.at_member.reset();
         transaction.failed = true;
         transaction.loss_reason =
             fail(error_kind::transaction_lost, "the transaction was idle for too long");
--- a/src/libpapayabridge/session/member_pool.cpp
+++ b/src/libpapayabridge/session/member_pool.cpp
@@ -97,7 +97,7 @@
             state.run = member.run;
             state.address = {
                 .endpoint = member.endpoint, .service = name, .id = member.run.id};
-            state.max_open = share;
+            state.max_open = service.through_gates ? member.gate.connections : share;
             if (state.primary_changes != service.primary_changes) {
                 state.primary_changes = service.primary_changes;
                 state.health.denies_primary_until = {};
@@ -136,24 +136,42 @@
     return may_use_connection(state.max_open, in_use, rank);
 }
 
-// The reason why the member cannot serve the request now; empty if it can.
 std::optional<error> member_pool::find_obstacle(const member_state& state,
-                                                const connection_request& request)
+                                                bool needs_primary)
 {
     auto now = steady_clock::now();
     const auto& id = state.address.id.str();
     if (state.is_removed || now < state.health.avoid_until) {
         return fail(error_kind::unreachable, id + " is not usable");
     }
-    if (request.needs_primary && now < state.health.denies_primary_until) {
+    if (needs_primary && now < state.health.denies_primary_until) {
         return fail(error_kind::superseded, id + " does not lead");
     }
-    if (!has_share_for(state, request.rank)) {
-        return fail(error_kind::overloaded, "all connections to " + id + " are in use");
-    }
     return std::nullopt;
 }
 
+std::optional<error> member_pool::find_obstacle(const member_id& member,
+                                                bool needs_primary)
+{
+    auto* state = find_member(member);
+    if (state == nullptr) {
+        return fail(error_kind::unreachable, member.str() + " is not known");
+    }
+    return find_obstacle(*state, needs_primary);
+}
+
+// The reason why the member cannot serve the request now; empty if it can.
+std::optional<error> member_pool::find_obstacle(const member_state& state,
+                                                const connection_request& request)
+{
+    auto obstacle = find_obstacle(state, request.needs_primary);
+    if (!obstacle && !has_share_for(state, request.rank)) {
+        return fail(error_kind::overloaded,
+                    "all connections to " + state.address.id.str() + " are in use");
+    }
+    return obstacle;
+}
+
 bool member_pool::denies_primary_role(const member_id& member)
 {
     return steady_clock::now() < health(member).denies_primary_until;
--- a/src/libpapayabridge/session/member_pool.hpp
+++ b/src/libpapayabridge/session/member_pool.hpp
@@ -100,6 +100,8 @@
     /// again.
     net::awaitable<result<pooled_connection>> acquire(connection_request request);
 
+    /// The reason why \p member should not be used now; empty if there is none.
+    std::optional<error> find_obstacle(const member_id& member, bool needs_primary);
     /// Whether \p member recently answered that it is not the primary.
     bool denies_primary_role(const member_id& member);
     /// Returns a shared placeholder record for an unknown member.
@@ -145,6 +147,8 @@
 
     member_state* find_member(const member_id& member);
     static bool has_share_for(const member_state& state, unsigned rank);
+    static std::optional<error> find_obstacle(const member_state& state,
+                                              bool needs_primary);
     static std::optional<error> find_obstacle(const member_state& state,
                                               const connection_request& request);
     std::unique_ptr<member_connection> pop_idle(member_state& state,
--- a/src/libpapayabridge/session/pool_view.cpp
+++ b/src/libpapayabridge/session/pool_view.cpp
@@ -17,7 +17,8 @@
                                        .endpoint = *endpoint,
                                        .distance = location.distance_to(member->domain),
                                        .slots = member->slots,
-                                       .leaving = member->leaving});
+                                       .leaving = member->leaving,
+                                       .domain = member->domain});
         }
     }
     std::stable_sort(
@@ -32,15 +33,55 @@
     return service;
 }
 
+void plan_gates(pool_view& view)
+{
+    std::map<domain_name, std::size_t> entries;
+    for (const auto& [id, entry] : view.gate_entries) {
+        ++entries[entry.domain];
+    }
+    std::map<domain_name, std::size_t> members;
+    for (const auto& [name, service] : view.services) {
+        for (const auto& member : service.members) {
+            ++members[member.domain];
+        }
+    }
+    for (auto& [name, service] : view.services) {
+        service.through_gates = !view.gate_entries.empty() &&
+                                needs_gates(service.limits.max_connections, view.entries);
+        for (auto& member : service.members) {
+            member.gates = gate_count(entries[member.domain], members[member.domain]);
+            member.gate = limits_of_gate(service.limits.max_connections, member.slots,
+                                         member.gates);
+        }
+    }
+}
+
 } // namespace
 
-unsigned entry_location::distance_to(const domain_name& other) const
+region_name entry_location::region_of(const domain_name& known) const
 {
-    if (other == domain) {
+    if (known == domain) {
+        return region;
+    }
+    auto found = regions.find(known);
+    return found == regions.end() ? region_name() : found->second;
+}
+
+unsigned entry_location::distance_between(const domain_name& one,
+                                          const domain_name& other) const
+{
+    if (one == other) {
         return 0;
     }
-    auto found = regions.find(other);
-    return found != regions.end() && found->second == region ? 1 : 2;
+    auto shared = region_of(one);
+    return !shared.empty() && shared == region_of(other) ? 1 : 2;
+}
+
+const viewed_member* viewed_service::member(const member_id& id) const
+{
+    auto found = std::find_if(members.begin(), members.end(),
+                              [&](const auto& known) { return known.run.id == id; });
+    return found == members.end() ? nullptr : &*found;
 }
 
 const pooled_route* pool_view::route(const database_name& database) const
@@ -62,11 +103,19 @@
     for (const auto& [name, limits] : view.configuration.services) {
         view.services[name] = view_service(name, limits, state.pool(), location);
     }
+    view.location = location;
     const auto& entries = state.entries();
+    for (const auto& [id, entry] : entries) {
+        auto endpoint = parse_endpoint(entry.rpc);
+        if (endpoint && entry.condition == entry_condition::up) {
+            view.gate_entries[id] = {.endpoint = *endpoint, .domain = entry.domain};
+        }
+    }
     auto running = std::count_if(entries.begin(), entries.end(), [](const auto& entry) {
         return entry.second.condition != entry_condition::down;
     });
     view.entries = std::max<std::size_t>(1, static_cast<std::size_t>(running));
+    plan_gates(view);
     return view;
 }
 
--- a/src/libpapayabridge/session/pool_view.hpp
+++ b/src/libpapayabridge/session/pool_view.hpp
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include "core/gate_placement.hpp"
+
 #include <papayabridge/control_state.hpp>
 #include <papayabridge/links.hpp>
 #include <papayabridge/pooled_configuration.hpp>
@@ -17,7 +19,15 @@
     std::map<domain_name, region_name> regions;
 
     /// 0 for the same failure domain, 1 for the same region, 2 otherwise.
-    unsigned distance_to(const domain_name& other) const;
+    unsigned distance_to(const domain_name& other) const
+    {
+        return distance_between(domain, other);
+    }
+    /// The same for two failure domains.
+    unsigned distance_between(const domain_name& one, const domain_name& other) const;
+
+private:
+    region_name region_of(const domain_name& known) const;
 };
 
 /// A member as an entry sees it.
@@ -28,6 +38,19 @@
     unsigned distance = 0;
     unsigned slots = 1;
     bool leaving = false;
+    domain_name domain;
+    /// Number of its gates, and the limits of each.
+    std::size_t gates = 1;
+    gate_limits gate;
+};
+
+/// Another entry, or this one, that can be the gate of members.
+struct viewed_entry
+{
+    tcp::endpoint endpoint;
+    domain_name domain;
+
+    friend bool operator==(const viewed_entry&, const viewed_entry&) = default;
 };
 
 /// A service as an entry sees it.
@@ -39,6 +62,11 @@
     member_id primary;
     std::uint64_t primary_changes = 0;
     bool is_changing = false;
+    /// Whether statements go through the gates of the members.
+    bool through_gates = false;
+
+    /// Member \p id, or null.
+    const viewed_member* member(const member_id& id) const;
 };
 
 /// The configuration in force with the services and members known to the entry.
@@ -51,6 +79,9 @@
     std::chrono::milliseconds leaving_limit{std::chrono::seconds(5)};
     /// Number of entries that share the members' connections.
     std::size_t entries = 1;
+    /// Entries that can be gates.
+    std::map<entry_id, viewed_entry> gate_entries;
+    entry_location location;
 
     const pooled_route* route(const database_name& database) const;
     const viewed_service* service(const service_name& name) const;
--- a/src/libpapayabridge/session/session_entry.cpp
+++ b/src/libpapayabridge/session/session_entry.cpp
@@ -64,10 +64,18 @@
                                              token_codec(settings_.fleet_key))),
       keepers_(executor_, clients_, settings_.seeds),
       pool_(executor_, protocols_.member_protocol),
+      local_(executor_, pool_, protocols_.member_protocol, report_),
+      gate_(executor_, local_, pool_),
+      members_({.executor = executor_,
+                .self = settings_.id,
+                .fleet_key = token_codec(settings_.fleet_key),
+                .local = local_,
+                .gate = gate_,
+                .pool = pool_}),
       services_{.executor = executor_,
                 .caller_protocol = protocols_.caller_protocol,
-                .member_protocol = protocols_.member_protocol,
                 .pool = pool_,
+                .members = members_,
                 .view = std::make_shared<pool_view>(),
                 .report = report_},
       acceptor_(runtime.control_context()), incarnation_(new_incarnation())
@@ -108,6 +116,16 @@
             return started;
         }
     }
+    if (settings_.gates) {
+        gate_server_.emplace(
+            executor_, gate_,
+            gate_server_options{.listen = *settings_.gates,
+                                .fleet_key = token_codec(settings_.fleet_key)});
+        auto started = gate_server_->start();
+        if (!started) {
+            return started;
+        }
+    }
     net::co_spawn(executor_, accept(), net::detached);
     net::co_spawn(executor_, follow_keepers(), net::detached);
     net::co_spawn(executor_, check_members(), net::detached);
@@ -143,11 +161,13 @@
 
 net::awaitable<void> session_entry::register_self()
 {
-    command change = register_entry{.entry = {.id = settings_.id,
-                                              .incarnation = incarnation_,
-                                              .http = to_string(settings_.callers),
-                                              .domain = settings_.location.domain,
-                                              .region = settings_.location.region}};
+    command change = register_entry{
+        .entry = {.id = settings_.id,
+                  .incarnation = incarnation_,
+                  .http = to_string(settings_.callers),
+                  .rpc = settings_.gates ? to_string(*settings_.gates) : std::string(),
+                  .domain = settings_.location.domain,
+                  .region = settings_.location.region}};
     auto outcome = co_await keepers_.propose(std::move(change),
                                              steady_clock::now() + propose_timeout);
     if (!outcome) {
@@ -249,6 +269,8 @@
     log_member_changes(*services_.view, *view);
     services_.view = view;
     pool_.update(services_.view);
+    gate_.update(services_.view);
+    members_.update(services_.view);
     update_keeper_endpoints();
 }
 
@@ -321,6 +343,10 @@
     all.gauge_of("papaya_sessions").set(log_number(sessions_.size()));
     all.gauge_of("papaya_member_connections").set(log_number(pool_.open_connections()));
     all.gauge_of("papaya_statements_waiting").set(log_number(pool_.waiting_statements()));
+    all.gauge_of("papaya_gate_running").set(log_number(gate_.running()));
+    all.gauge_of("papaya_gate_waiting").set(log_number(gate_.waiting()));
+    all.gauge_of("papaya_gate_transactions")
+        .set(log_number(gate_server_ ? gate_server_->transactions() : 0));
     all.gauge_of("papaya_configuration_version")
         .set(log_number(configuration_.version.value()));
     all.gauge_of("papaya_control_index").set(log_number(state_.applied_index().value()));
@@ -331,6 +357,9 @@
     while (true) {
         auto view = services_.view;
         pool_.close_unused();
+        if (gate_server_) {
+            gate_server_->check(view->configuration.transaction_idle_limit);
+        }
         for (const auto& [name, service] : view->services) {
             for (const auto& member : service.members) {
                 check_member(name, member.run.id, member.run.id == service.primary);
@@ -401,6 +430,27 @@
     }
 }
 
+// Whether statements or transactions of other entries are in progress here.
+bool session_entry::serves_peers() const
+{
+    return gate_server_ &&
+           (gate_server_->statements() > 0 || gate_server_->transactions() > 0);
+}
+
+// Makes the other entries choose other gates. Until they know, new statements are refused
+// as not run.
+net::awaitable<void> session_entry::announce_stop()
+{
+    command change = set_entry_condition{.entry = settings_.id,
+                                         .incarnation = incarnation_,
+                                         .condition = entry_condition::draining};
+    auto outcome = co_await keepers_.propose(std::move(change),
+                                             steady_clock::now() + propose_timeout);
+    if (!outcome) {
+        log_line(log_event::registration_failed, {{"detail", outcome.error().str()}});
+    }
+}
+
 // New sessions are accepted until the load balancer has seen that this entry is not
 // ready. Then idle sessions are closed, and after half of the grace also those with
 // open transactions. Running statements are still answered.
@@ -409,10 +459,18 @@
     auto began = steady_clock::now();
     auto transactions_until = began + settings_.stop_grace / 2;
     auto end = began + settings_.stop_grace - exit_margin;
+    if (gate_server_) {
+        gate_server_->stop_accepting_statements();
+    }
+    net::co_spawn(executor_, announce_stop(), net::detached);
     co_await sleep_for(std::min(balancer_delay, settings_.stop_grace / 2));
     sessions_.close_when_idle = true;
-    while (sessions_.size() > 0 && steady_clock::now() < end) {
-        close_sessions(steady_clock::now() >= transactions_until, false);
+    while ((sessions_.size() > 0 || serves_peers()) && steady_clock::now() < end) {
+        bool include_transactions = steady_clock::now() >= transactions_until;
+        close_sessions(include_transactions, false);
+        if (include_transactions && gate_server_) {
+            gate_server_->end_transactions();
+        }
         co_await sleep_for(drain_poll);
     }
     log_line(log_event::process_stopped, {{"sessions", log_number(sessions_.size())}});
--- a/src/libpapayabridge/session/session_entry.hpp
+++ b/src/libpapayabridge/session/session_entry.hpp
@@ -4,6 +4,9 @@
 #pragma once
 
 #include "caller_session.hpp"
+#include "gate_server.hpp"
+#include "gated_access.hpp"
+#include "local_access.hpp"
 #include "session_settings.hpp"
 
 #include <papayabridge/daemon.hpp>
@@ -45,6 +48,8 @@
     void check_member(const service_name& service, const member_id& member,
                       bool is_primary);
     net::awaitable<void> drain_and_stop();
+    net::awaitable<void> announce_stop();
+    bool serves_peers() const;
     net::awaitable<void> sleep_for(std::chrono::milliseconds time);
     void apply_update(watch_update update);
     void update_view();
@@ -63,6 +68,10 @@
     keeper_client keepers_;
     member_pool pool_;
     statement_report report_;
+    local_access local_;
+    statement_gate gate_;
+    gated_access members_;
+    std::optional<gate_server> gate_server_;
     session_services services_;
     session_registry sessions_;
     tcp::acceptor acceptor_;
--- a/src/libpapayabridge/session/session_settings.cpp
+++ b/src/libpapayabridge/session/session_settings.cpp
@@ -25,6 +25,9 @@
     if (section.has("metrics")) {
         settings.metrics = section.endpoint("metrics");
     }
+    if (section.has("gates")) {
+        settings.gates = section.endpoint("gates");
+    }
     settings.fleet_key = section.text("fleet_key");
     if (!settings.fleet_key.empty() && settings.fleet_key.size() < shortest_key) {
         section.report_invalid("fleet_key", "at least 16 characters");
--- a/src/libpapayabridge/session/session_settings.hpp
+++ b/src/libpapayabridge/session/session_settings.hpp
@@ -17,6 +17,9 @@
     log_rates log;
     /// Listening endpoint for callers.
     tcp::endpoint callers;
+    /// Listening endpoint for other entries, for which this entry is a gate; empty if it
+    /// is never one.
+    std::optional<tcp::endpoint> gates;
     /// Listening endpoint for metrics; empty if metrics are disabled.
     std::optional<tcp::endpoint> metrics;
     std::string fleet_key;
--- a/src/libpapayabridge/session/statement_runner.cpp
+++ b/src/libpapayabridge/session/statement_runner.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace papayabridge {
@@ -150,32 +148,50 @@
     return replaced || unusable;
 }
 
-net::awaitable<pooled_connection>
-statement_runner::acquire(execution& run, const candidate_list& candidates)
+session_statement statement_runner::work_of(const execution& run) const
+{
+    return {.stmt = &run.stmt,
+            .session = &session_.values,
+            .shape = run.shape,
+            .writes = run.writes,
+            .deadline = run.deadline};
+}
+
+// One attempt. An outcome of stage `waiting` is recorded here as the last error.
+net::awaitable<member_outcome>
+statement_runner::run_at_member(execution& run, const candidate_list& candidates,
+                                run_scope scope)
 {
     run.no_usable_primary = has_no_usable_primary(run, candidates);
     if (run.no_usable_primary) {
         run.wait_until = steady_clock::now();
     }
-    connection_request request{.service = run.route.service,
-                               .members = candidates.members,
-                               .session = &session_.values,
-                               .rank = run.route.rank,
-                               .needs_primary = !candidates.min_position,
-                               .wait_until = run.wait_until};
+    member_request request{.service = run.route.service,
+                           .members = candidates.members,
+                           .work = work_of(run),
+                           .scope = scope,
+                           .rank = run.route.rank,
+                           .needs_primary = !candidates.min_position,
+                           .at_least = candidates.min_position,
+                           .wait_until = run.wait_until};
     run.last_needed = candidates.min_position;
-    auto started = steady_clock::now();
-    auto taken = co_await services_.pool.acquire(std::move(request));
-    run.waited += steady_clock::now() - started;
-    if (!taken) {
+    auto started = boottime_now();
+    auto outcome = co_await services_.members.run(std::move(request));
+    run.waited += outcome.waited;
+    run.sent = started + outcome.waited;
+    if (!outcome.member.empty()) {
+        ++run.attempts;
+        run.last_member = outcome.member;
+    }
+    if (outcome.stage == run_stage::waiting) {
         if (!candidates.members.empty()) {
-            set_last_error(run, taken.error());
+            set_last_error(run, outcome.answer.error());
+        }
+        if (outcome.is_unservable) {
+            run.wait_until = steady_clock::now();
         }
-        co_return pooled_connection();
     }
-    ++run.attempts;
-    run.last_member = taken.value().member();
-    co_return std::move(taken.value());
+    co_return outcome;
 }
 
 statement_summary statement_runner::summarize(const execution& run) const
@@ -278,36 +294,28 @@
 net::awaitable<std::optional<statement_answer>>
 statement_runner::try_write(execution& run)
 {
-    auto connection = co_await acquire(run, select_members(run, true));
-    if (!connection) {
+    auto candidates = select_members(run, true);
+    auto outcome = co_await run_at_member(run, candidates, run_scope::single);
+    if (outcome.stage == run_stage::waiting) {
         co_return std::nullopt;
     }
-    auto member = connection.member();
-    auto setup = plan_connection_setup(connection->contents, session_.values, run.shape);
-    std::string bytes;
-    services_.member_protocol.encode_statement(bytes, run.stmt, setup.prepared_name, {});
-    auto sent = boottime_now();
-    auto reply = co_await exchange(run, connection, std::move(setup), std::move(bytes));
-    auto answer = check_answer(std::move(reply), session_phase::idle);
+    auto& answer = outcome.answer;
     if (!answer) {
         if (answer.error().kind == error_kind::unreachable) {
-            record_failure(run, member, answer.error());
+            record_failure(run, outcome.member, answer.error());
             co_return std::nullopt;
         }
         co_return failed_answer(fail(error_kind::outcome_unknown, answer.error().detail),
                                 session_phase::idle);
     }
-    if (answer.value().phase == session_phase::idle) {
-        connection.release();
-    }
     auto& failure = answer.value().failure;
     if (failure && did_not_run(failure->kind)) {
-        record_failure(run, member, *failure);
+        record_failure(run, outcome.member, *failure);
         co_await pause_before_retry(run);
         co_return std::nullopt;
     }
     if (!failure) {
-        record_sample(run, sent, answer.value());
+        record_sample(run, run.sent, answer.value());
         session_.last_commit =
             std::max(session_.last_commit, answer.value().log_position);
     }
@@ -318,50 +326,25 @@
 net::awaitable<std::optional<statement_answer>> statement_runner::try_read(execution& run)
 {
     auto candidates = select_members(run, false);
-    auto connection = co_await acquire(run, candidates);
-    if (!connection) {
+    auto scope = candidates.min_position ? run_scope::single : run_scope::read_at_primary;
+    auto outcome = co_await run_at_member(run, candidates, scope);
+    if (outcome.stage == run_stage::waiting) {
         co_return std::nullopt;
     }
-    auto member = connection.member();
-    bool in_transaction = !candidates.min_position;
-    if (in_transaction) {
-        auto begun = co_await begin_at_primary(run, connection);
-        if (!begun) {
-            record_failure(run, member, begun.error());
-            co_await pause_before_retry(run);
-            co_return std::nullopt;
-        }
-    }
-    auto setup = plan_connection_setup(connection->contents, session_.values, run.shape);
-    std::string bytes;
-    services_.member_protocol.encode_statement(bytes, run.stmt, setup.prepared_name,
-                                               candidates.min_position);
-    if (in_transaction) {
-        services_.member_protocol.encode_rollback(bytes);
-    }
-    auto sent = boottime_now();
-    auto reply = co_await exchange(run, connection, std::move(setup), std::move(bytes));
-    auto answer =
-        check_answer(std::move(reply), in_transaction ? session_phase::in_transaction
-                                                      : session_phase::idle);
+    auto& answer = outcome.answer;
     if (!answer) {
         // Reads may run twice, so this one is retried.
-        run.may_have_run = true;
-        record_failure(run, member, answer.error());
+        run.may_have_run = run.may_have_run || outcome.stage == run_stage::sent;
+        record_failure(run, outcome.member, answer.error());
         co_await pause_before_retry(run);
         co_return std::nullopt;
     }
     auto& failure = answer.value().failure;
-    if (in_transaction) {
-        if (!failure) {
-            record_sample(run, sent, answer.value());
-        }
-        roll_back_and_release(services_, std::move(connection), true);
-    } else if (answer.value().phase == session_phase::idle) {
-        connection.release();
+    if (!failure && scope == run_scope::read_at_primary) {
+        record_sample(run, run.sent, answer.value());
     }
     if (failure && failure->kind != error_kind::bad_request) {
-        record_failure(run, member, *failure, answer.value().log_position);
+        record_failure(run, outcome.member, *failure, answer.value().log_position);
         co_await pause_before_retry(run);
         co_return std::nullopt;
     }
@@ -369,36 +352,32 @@
     co_return std::move(answer.value());
 }
 
-// Sends BEGIN to a member before the first statement of the transaction.
-net::awaitable<bool> statement_runner::open_transaction(execution& run,
-                                                        session_transaction& transaction)
+// Opens the transaction with its first statement. Returns the answer to the statement, or
+// nothing if no member opened the transaction.
+net::awaitable<std::optional<result<statement_answer>>>
+statement_runner::open_transaction(execution& run, session_transaction& transaction)
 {
     auto candidates = select_members(run, !transaction.read_only);
-    auto connection = co_await acquire(run, candidates);
-    if (!connection) {
-        co_return false;
-    }
-    auto member = connection.member();
-    auto setup = plan_connection_setup(connection->contents, session_.values, run.shape);
-    std::string bytes;
     bool at_primary = !candidates.min_position;
-    services_.member_protocol.encode_begin(bytes, !at_primary, candidates.min_position);
-    auto begun = co_await exchange(run, connection, std::move(setup), std::move(bytes));
-    if (!begun) {
-        record_failure(run, member, begun.error());
-        co_return false;
-    }
-    if (begun.value().failure) {
-        record_failure(run, member, *begun.value().failure, begun.value().log_position);
-        if (begun.value().phase == session_phase::idle) {
-            connection.release();
+    auto outcome = co_await run_at_member(run, candidates,
+                                          at_primary ? run_scope::begin_read_write
+                                                     : run_scope::begin_read_only);
+    if (outcome.stage == run_stage::waiting) {
+        co_return std::nullopt;
+    }
+    if (outcome.stage == run_stage::opening) {
+        if (!outcome.answer) {
+            record_failure(run, outcome.member, outcome.answer.error());
+            co_return std::nullopt;
         }
+        record_failure(run, outcome.member, *outcome.answer.value().failure,
+                       outcome.answer.value().log_position);
         co_await pause_before_retry(run);
-        co_return false;
+        co_return std::nullopt;
     }
-    transaction.connection = std::move(connection);
+    transaction.at_member = std::move(outcome.transaction);
     transaction.at_primary = at_primary;
-    co_return true;
+    co_return std::move(outcome.answer);
 }
 
 net::awaitable<statement_answer>
@@ -406,95 +385,84 @@
                                      session_transaction& transaction)
 {
     auto run = start_execution(stmt, transaction.route);
-    bool is_open = bool(transaction.connection);
-    if (is_open) {
-        run.last_member = transaction.connection.member();
-    }
-    while (!is_open) {
-        is_open = co_await open_transaction(run, transaction);
-        if (!is_open && !may_retry(run)) {
+    std::optional<result<statement_answer>> first;
+    if (transaction.at_member) {
+        run.last_member = transaction.at_member->member();
+        run.sent = boottime_now();
+        first = co_await transaction.at_member->run(work_of(run));
+    }
+    while (!first) {
+        first = co_await open_transaction(run, transaction);
+        if (!first && !may_retry(run)) {
             transaction.failed = true;
             auto answer = give_up(run, session_phase::failed);
             report_finished(run, answer);
             co_return answer;
         }
     }
-    auto answer = co_await run_bound(run, transaction);
+    auto answer = co_await run_bound(run, transaction, std::move(*first));
     report_finished(run, answer);
     co_return answer;
 }
 
+// Repeats a statement that the member refused because it is busy, then records its
+// answer.
 net::awaitable<statement_answer>
-statement_runner::run_bound(execution& run, session_transaction& transaction)
+statement_runner::run_bound(execution& run, session_transaction& transaction,
+                            result<statement_answer> answer)
 {
-    while (true) {
-        auto setup = plan_connection_setup(transaction.connection->contents,
-                                           session_.values, run.shape);
-        std::string bytes;
-        services_.member_protocol.encode_statement(bytes, run.stmt, setup.prepared_name,
-                                                   {});
-        auto sent = boottime_now();
-        auto reply = co_await exchange(run, transaction.connection, std::move(setup),
-                                       std::move(bytes));
-        bool commits = run.stmt.verb == statement_verb::commit;
-        auto answer =
-            check_answer(std::move(reply),
-                         commits ? session_phase::idle : session_phase::in_transaction);
-        bool busy = answer && answer.value().failure &&
-                    answer.value().failure->kind == error_kind::overloaded &&
-                    answer.value().phase == session_phase::in_transaction;
-        if (busy && may_retry(run)) {
-            co_await pause_before_retry(run);
-            continue;
-        }
-        if (answer && !answer.value().failure) {
-            transaction.wrote = transaction.wrote || run.writes;
-            if (transaction.at_primary) {
-                record_sample(run, sent, answer.value());
-            }
+    auto is_busy = [&] {
+        return answer && answer.value().failure &&
+               answer.value().failure->kind == error_kind::overloaded &&
+               answer.value().phase == session_phase::in_transaction;
+    };
+    while (is_busy() && may_retry(run)) {
+        co_await pause_before_retry(run);
+        run.sent = boottime_now();
+        answer = co_await transaction.at_member->run(work_of(run));
+    }
+    if (answer && !answer.value().failure) {
+        transaction.wrote = transaction.wrote || run.writes;
+        if (transaction.at_primary) {
+            record_sample(run, run.sent, answer.value());
         }
-        co_return co_await finish_statement(run, transaction, std::move(answer));
     }
+    co_return finish_statement(run, transaction, std::move(answer));
 }
 
-net::awaitable<statement_answer>
-statement_runner::finish_statement(execution& run, session_transaction& transaction,
-                                   result<statement_answer> answer)
+statement_answer statement_runner::finish_statement(execution& run,
+                                                    session_transaction& transaction,
+                                                    result<statement_answer> answer)
 {
     bool commits = run.stmt.verb == statement_verb::commit;
     if (!answer) {
-        transaction.connection.close();
+        transaction.at_member.reset();
         transaction.failed = true;
         if (commits && transaction.wrote) {
-            co_return failed_answer(
-                fail(error_kind::outcome_unknown, answer.error().detail),
-                session_phase::idle);
+            return failed_answer(fail(error_kind::outcome_unknown, answer.error().detail),
+                                 session_phase::idle);
         }
-        // Closing the connection rolled back the transaction. The outcome is not in
-        // doubt, because no commit was requested or the transaction wrote nothing.
+        // The member rolls back the transaction. The outcome is not in doubt, because no
+        // commit was requested or the transaction wrote nothing.
         auto failure = fail(error_kind::transaction_lost, answer.error().detail);
-        co_return failed_answer(std::move(failure),
-                                commits ? session_phase::idle : session_phase::failed);
+        return failed_answer(std::move(failure),
+                             commits ? session_phase::idle : session_phase::failed);
     }
     auto& value = answer.value();
     if (commits) {
         if (!value.failure && transaction.wrote) {
             session_.last_commit = std::max(session_.last_commit, value.log_position);
         }
-        if (value.phase == session_phase::idle) {
-            transaction.connection.release();
-        } else {
-            roll_back_and_release(services_, std::move(transaction.connection), false);
-        }
+        transaction.at_member.reset();
         value.phase = session_phase::idle;
-        co_return std::move(value);
+        return std::move(value);
     }
     if (value.phase != session_phase::in_transaction) {
         transaction.failed = true;
         value.phase = session_phase::failed;
-        roll_back_and_release(services_, std::move(transaction.connection), false);
+        transaction.at_member.reset();
     }
-    co_return std::move(value);
+    return std::move(value);
 }
 
 } // namespace papayabridge
--- a/src/libpapayabridge/session/statement_runner.hpp
+++ b/src/libpapayabridge/session/statement_runner.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/position_samples.hpp"
+#include "member_access.hpp"
 #include "member_pool.hpp"
 #include "statement_report.hpp"
 
@@ -15,8 +16,9 @@
 {
     net::any_io_executor executor;
     const caller_codec& caller_protocol;
-    const member_codec& member_protocol;
+    /// What this entry knows of the members' health.
     member_pool& pool;
+    member_access& members;
     std::shared_ptr<const pool_view> view;
     /// Log positions observed at the primary of each service.
     std::map<service_name, position_samples> samples;
@@ -44,7 +46,7 @@
     bool read_only = false;
     /// Empty until the first statement is sent; before that, no member knows the
     /// transaction.
-    pooled_connection connection;
+    std::unique_ptr<member_transaction> at_member;
     bool wrote = false;
     /// Whether the member accepted a read-write BEGIN, which only a primary does.
     bool at_primary = false;
@@ -92,6 +94,8 @@
         config_version version;
         /// Time spent without a member connection.
         std::chrono::nanoseconds waited{0};
+        /// When the last attempt was sent to the member, at the earliest.
+        position_samples::time sent{0};
         unsigned attempts = 0;
         /// The last member tried, and the position that its log had to hold.
         member_id last_member;
@@ -121,28 +125,21 @@
     std::optional<position> needed_position(const execution& run) const;
     bool has_no_usable_primary(const execution& run,
                                const candidate_list& candidates) const;
-    net::awaitable<pooled_connection> acquire(execution& run,
-                                              const candidate_list& candidates);
+    net::awaitable<member_outcome>
+    run_at_member(execution& run, const candidate_list& candidates, run_scope scope);
+    session_statement work_of(const execution& run) const;
     net::awaitable<void> pause_before_retry(execution& run);
 
     net::awaitable<statement_answer> run_until_answered(execution& run);
     net::awaitable<std::optional<statement_answer>> try_write(execution& run);
     net::awaitable<std::optional<statement_answer>> try_read(execution& run);
-    net::awaitable<bool> open_transaction(execution& run,
-                                          session_transaction& transaction);
-    net::awaitable<result<statement_answer>>
-    begin_at_primary(execution& run, pooled_connection& connection);
-    net::awaitable<result<statement_answer>> exchange(execution& run,
-                                                      pooled_connection& connection,
-                                                      connection_setup setup,
-                                                      std::string bytes);
+    net::awaitable<std::optional<result<statement_answer>>>
+    open_transaction(execution& run, session_transaction& transaction);
     net::awaitable<statement_answer> run_bound(execution& run,
-                                               session_transaction& transaction);
-    static result<statement_answer> check_answer(result<statement_answer> answer,
-                                                 session_phase after);
-    net::awaitable<statement_answer> finish_statement(execution& run,
-                                                      session_transaction& transaction,
-                                                      result<statement_answer> answer);
+                                               session_transaction& transaction,
+                                               result<statement_answer> answer);
+    statement_answer finish_statement(execution& run, session_transaction& transaction,
+                                      result<statement_answer> answer);
     statement_answer give_up(const execution& run, session_phase phase);
     statement_summary summarize(const execution& run) const;
     void report_finished(const execution& run, const statement_answer& answer);
@@ -156,9 +153,4 @@
     session_state& session_;
 };
 
-/// Rolls back the transaction on \p connection in the background and then releases the
-/// connection. \p rollback_sent tells that the ROLLBACK was already sent.
-void roll_back_and_release(session_services& services, pooled_connection connection,
-                           bool rollback_sent);
-
 } // namespace papayabridge
