--- a/src/libpapayabridge/core/gate_placement.cpp
+++ b/src/libpapayabridge/core/gate_placement.cpp
@@ -17,9 +17,9 @@
 constexpr std::size_t max_gates = 2;
 // Connections per member that are left to keepers.
 constexpr unsigned reserved_connections = 2;
-// A gate keeps one statement more than its slots at the member, so that a slot is not
-// idle for the round trip.
-constexpr unsigned statements_ahead = 1;
+// Statements at the member for each of its slots. With fewer, slots are idle for the
+// round trips; with more, statements wait at the member, whose queue knows no ranks.
+constexpr unsigned statements_per_slot = 2;
 
 std::uint64_t hash_of(const entry_id& entry, const member_id& member)
 {
@@ -52,8 +52,8 @@
     auto usable = max_connections - std::min(max_connections - 1, reserved_connections);
     auto connections = static_cast<unsigned>(usable / (gates + 1));
     return {.connections = std::max(1U, connections),
-            .slots =
-                divide_rounding_up(std::max(1U, member_slots), gates) + statements_ahead};
+            .slots = divide_rounding_up(std::max(1U, member_slots) * statements_per_slot,
+                                        gates)};
 }
 
 std::vector<entry_id> order_gates(const member_id& member,
--- a/src/libpapayabridge/session/gated_access.cpp
+++ b/src/libpapayabridge/session/gated_access.cpp
@@ -186,8 +186,13 @@
         }
         refused = std::move(reply.outcome);
     }
-    if (refused && !is_long_unreachable(member)) {
-        co_return std::move(*refused);
+    if (refused) {
+        // The gate's evidence counts for all its callers: the keepers replace a primary
+        // that many entries cannot use.
+        options_.pool.record_failure(member, request.work.writes);
+        if (!is_long_unreachable(member)) {
+            co_return std::move(*refused);
+        }
     }
     auto outcome = co_await options_.gate.run(std::move(narrowed));
     co_return outcome;
--- a/src/libpapayabridge/session/member_pool.hpp
+++ b/src/libpapayabridge/session/member_pool.hpp
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include "core/lag_avoidance.hpp"
 #include "member_connection.hpp"
 #include "pool_view.hpp"
 
@@ -68,11 +69,8 @@
     /// The member answered that it is not the primary; statements that need a primary
     /// avoid it until this time.
     time_point denies_primary_until;
-    /// The member refused a read because its log was behind; reads that need \p reached
-    /// or a later position avoid it until this time.
-    time_point behind_until;
-    /// Position of its log at that refusal.
-    position reached;
+    /// Refusals of reads because its log was behind.
+    lag_avoidance behind;
     /// When this entry first saw that the member is leaving.
     std::optional<time_point> leaving_since;
     /// Number of statements that wait for an answer of this member.
--- a/src/libpapayabridge/session/statement_runner.cpp
+++ b/src/libpapayabridge/session/statement_runner.cpp
@@ -11,6 +11,9 @@
 // Fraction of the latency target that may be spent waiting for a connection. A caller
 // that is refused early can still be served in time by another entry.
 constexpr int wait_divisor = 4;
+// Quarters of the statement's time that it may wait at a gate. The last is left to run
+// it.
+constexpr int queued_parts = 3;
 // Pause before a refused statement is retried at the same member.
 constexpr std::chrono::milliseconds retry_pause{10};
 // How long a member that denied being the primary is avoided, unless its service
@@ -21,8 +24,6 @@
 constexpr std::chrono::milliseconds unusable_limit{2500};
 // Under load a member is tried more often than this, so an older failure may be over.
 constexpr std::chrono::milliseconds failure_validity{1000};
-// How long a replica whose log was behind is avoided.
-constexpr std::chrono::milliseconds behind_time{60};
 
 // Whether \p kind guarantees that the member did not run the statement.
 bool did_not_run(error_kind kind)
@@ -67,6 +68,15 @@
         run.writes = found->second.writes;
     }
     run.wait_until = std::min(run.wait_until, run.deadline);
+    // A caller that a gate refuses comes back to the same queue, as its last. It is
+    // better served late than sent there again.
+    const auto* service = services_.view->service(route.service);
+    bool is_queued_at_gate = service != nullptr && service->through_gates;
+    run.queue_until =
+        is_queued_at_gate
+            ? now + std::min<std::chrono::milliseconds>(
+                        route.target, route.statement_timeout * queued_parts / 4)
+            : run.wait_until;
     return run;
 }
 
@@ -112,8 +122,8 @@
         bool gone = health.leaving_since &&
                     now - *health.leaving_since > services_.view->leaving_limit;
         bool not_primary = !candidates.min_position && member.run.id != service->primary;
-        bool behind = candidates.min_position && now < health.behind_until &&
-                      health.reached < *candidates.min_position;
+        bool behind = candidates.min_position &&
+                      health.behind.is_avoided(now, *candidates.min_position);
         if (gone || not_primary || behind) {
             continue;
         }
@@ -165,6 +175,7 @@
     run.no_usable_primary = has_no_usable_primary(run, candidates);
     if (run.no_usable_primary) {
         run.wait_until = steady_clock::now();
+        run.queue_until = run.wait_until;
     }
     member_request request{.service = run.route.service,
                            .members = candidates.members,
@@ -173,7 +184,7 @@
                            .rank = run.route.rank,
                            .needs_primary = !candidates.min_position,
                            .at_least = candidates.min_position,
-                           .wait_until = run.wait_until};
+                           .wait_until = std::max(run.wait_until, run.queue_until)};
     run.last_needed = candidates.min_position;
     auto started = boottime_now();
     auto outcome = co_await services_.members.run(std::move(request));
@@ -238,9 +249,7 @@
     run.failed_members.insert(member);
     services_.report.record_failed_attempt(summarize(run), problem, reached);
     if (problem.kind == error_kind::behind) {
-        auto& health = services_.pool.health(member);
-        health.behind_until = now + behind_time;
-        health.reached = reached.value_or(position());
+        services_.pool.health(member).behind.record(now, reached.value_or(position()));
     }
     if (problem.kind == error_kind::superseded) {
         services_.pool.health(member).denies_primary_until = now + denial_time;
@@ -345,7 +354,10 @@
     }
     if (failure && failure->kind != error_kind::bad_request) {
         record_failure(run, outcome.member, *failure, answer.value().log_position);
-        co_await pause_before_retry(run);
+        bool has_untried = run.failed_members.size() < candidates.members.size();
+        if (failure->kind != error_kind::behind || !has_untried) {
+            co_await pause_before_retry(run);
+        }
         co_return std::nullopt;
     }
     answer.value().phase = session_phase::idle;
--- a/src/libpapayabridge/session/statement_runner.hpp
+++ b/src/libpapayabridge/session/statement_runner.hpp
@@ -84,8 +84,10 @@
         /// executes none.
         std::optional<prepared_shape> shape;
         time_point deadline;
-        /// Time until which it may wait for a connection and be retried.
+        /// Time until which it may be retried.
         time_point wait_until;
+        /// Time until which it may wait for a connection, or for a slot at a gate.
+        time_point queue_until;
         /// Arrival time. The second value includes the time for which the machine was
         /// suspended.
         time_point started;
