A wrong member at an address is unusable, not a missing database

Cause: an address that is used again by a member of another service refuses the opening with WRONGNODE, which was told to the caller as "no such database".

Ruled out: an older view (the lines show configuration 4, then 7).

Change: both answers of a member that is not the expected one are `unreachable`: not run, tried elsewhere.

Also: a gate that was suspended or stops refuses as itself, so that callers do not record a failure of its member; a slot is freed if a statement ends with an exception; an exception in a request to a gate fails that request only.

--- a/src/libpapayabridge/session/gate_link.cpp
+++ b/src/libpapayabridge/session/gate_link.cpp
@@ -22,7 +22,8 @@
 constexpr std::chrono::milliseconds unreachable_time{400};
 // How long a silent gate is not used. A suspended machine is usually back after seconds.
 constexpr std::chrono::milliseconds silent_time{1000};
-// Longer than a stopping entry takes to leave the members' view of the fleet.
+// How long a gate is not used that refused because it stops or was suspended. Longer than
+// the other entries need to learn that it drains.
 constexpr std::chrono::milliseconds stopping_time{3000};
 // A gate that has sent nothing for this long while it owes an answer is pinged.
 constexpr std::chrono::milliseconds ping_after{150};
--- a/src/libpapayabridge/session/gate_server.cpp
+++ b/src/libpapayabridge/session/gate_server.cpp
@@ -68,6 +68,7 @@
     }
 };
 
+// `leaving` concerns the gate; the other kinds concern the member.
 gate_response not_run(error_kind kind, std::string detail)
 {
     return {.stage = run_stage::waiting, .answer = fail(kind, std::move(detail))};
@@ -118,12 +119,13 @@
             .deadline = steady_clock::now() + message.time_left};
 }
 
-void log_refusal(const gate_message& message, const gate_response& response)
+void log_refusal(const gate_message& message, const member_id& member,
+                 const gate_response& response)
 {
     if (!response.answer) {
         const auto& why = response.answer.error();
         log_line(log_event::gate_refused, {{"request", message.stmt.id.str()},
-                                           {"member", message.member.str()},
+                                           {"member", member.str()},
                                            {"waited_us", log_us(response.waited)},
                                            {"kind", answer_of(why.kind).name},
                                            {"detail", why.detail}});
@@ -199,24 +201,53 @@
     }
 }
 
+net::awaitable<gate_response> respond(std::shared_ptr<gate_server::state> server,
+                                      std::shared_ptr<gate_peer> peer,
+                                      const gate_message& message, bool is_old)
+{
+    if (is_old && message.call == gate_call::run) {
+        co_return not_run(error_kind::leaving, "the gate was suspended");
+    }
+    if (is_old) {
+        end_transaction(*peer, message.transaction);
+        co_return transaction_lost("the gate was suspended");
+    }
+    if (message.call == gate_call::run) {
+        auto response = co_await run_statement(server, peer, message);
+        co_return response;
+    }
+    auto response = co_await run_in_transaction(peer, message);
+    co_return response;
+}
+
+member_id member_of(const gate_peer& peer, const gate_message& message)
+{
+    auto found = peer.transactions.find(message.transaction);
+    return message.call == gate_call::run || found == peer.transactions.end()
+               ? message.member
+               : found->second->at_member->member();
+}
+
 net::awaitable<void> answer_request(std::shared_ptr<gate_server::state> server,
                                     std::shared_ptr<gate_peer> peer, std::uint64_t id,
                                     gate_message message, bool is_old)
 {
     gate_response response;
+    auto member = member_of(*peer, message);
     ++server->statements;
-    if (is_old && message.call == gate_call::run) {
-        response = not_run(error_kind::unreachable, "the gate was suspended");
-    } else if (is_old) {
-        end_transaction(*peer, message.transaction);
-        response = transaction_lost("the gate was suspended");
-    } else if (message.call == gate_call::run) {
-        response = co_await run_statement(server, peer, message);
-    } else {
-        response = co_await run_in_transaction(peer, message);
+    std::string exception_text;
+    try {
+        response = co_await respond(server, peer, message, is_old);
+    } catch (const std::exception& exception) {
+        exception_text = exception.what();
+    }
+    if (!exception_text.empty()) {
+        response = {.stage = run_stage::sent,
+                    .answer =
+                        fail(error_kind::internal, "the gate failed: " + exception_text)};
     }
     --server->statements;
-    log_refusal(message, response);
+    log_refusal(message, member, response);
     if (!peer->is_closed) {
         frame answer;
         answer.kind = frame_kind::response;
--- a/src/libpapayabridge/session/gated_access.cpp
+++ b/src/libpapayabridge/session/gated_access.cpp
@@ -55,8 +55,10 @@
         });
     }
     view_ = std::move(view);
-    std::erase_if(busy_until_,
-                  [](const auto& row) { return row.second < steady_clock::now(); });
+    auto now = steady_clock::now();
+    std::erase_if(busy_until_, [&](const auto& row) { return row.second < now; });
+    std::erase_if(unreachable_,
+                  [&](const auto& row) { return now - row.second.last > direct_after; });
 }
 
 const std::vector<entry_id>& gated_access::gates_of(const viewed_member& member)
--- a/src/libpapayabridge/session/member_connection.hpp
+++ b/src/libpapayabridge/session/member_connection.hpp
@@ -22,10 +22,10 @@
 class member_connection
 {
 public:
-    /// Connects and opens a session. Errors: `unreachable`, `overloaded` if the member
-    /// accepts no more connections, `not_found` if another member answers. Sets \p
-    /// refused, if given, to whether the host refused the connection because no process
-    /// listens there.
+    /// Connects and opens a session. Errors: `unreachable`, also if another member
+    /// answers; `overloaded` if the member accepts no more connections. Sets \p refused,
+    /// if given, to whether the host refused the connection because no process listens
+    /// there.
     static net::awaitable<result<std::unique_ptr<member_connection>>>
     open(net::any_io_executor executor, const member_codec& codec, member_address address,
          time_point deadline, bool* refused = nullptr);
--- a/src/libpapayabridge/session/statement_gate.cpp
+++ b/src/libpapayabridge/session/statement_gate.cpp
@@ -57,6 +57,27 @@
     std::map<std::uint64_t, std::shared_ptr<waiter>> waiters;
 };
 
+// A slot of the member. The destructor frees it, also if the statement ends with an
+// exception.
+class statement_gate::held_slot
+{
+public:
+    held_slot(member_queue& queue, std::uint64_t ticket) : queue_(queue), ticket_(ticket)
+    {
+    }
+    ~held_slot()
+    {
+        queue_.admitted.finish(ticket_, steady_clock::now());
+        start_admitted(queue_);
+    }
+    held_slot(const held_slot&) = delete;
+    held_slot& operator=(const held_slot&) = delete;
+
+private:
+    member_queue& queue_;
+    std::uint64_t ticket_;
+};
+
 void statement_gate::update(std::shared_ptr<const pool_view> view)
 {
     view_ = std::move(view);
@@ -169,15 +190,14 @@
         refused.is_unservable = unservable;
         co_return refused;
     }
-    auto obstacle = find_obstacle(request);
-    auto outcome = obstacle ? failed_outcome(run_stage::waiting, std::move(*obstacle))
-                            : member_outcome();
-    if (!obstacle) {
+    held_slot slot(*queue, ticket);
+    auto outcome = member_outcome();
+    if (auto obstacle = find_obstacle(request)) {
+        outcome = failed_outcome(run_stage::waiting, std::move(*obstacle));
+    } else {
         request.members.resize(1);
         outcome = co_await local_.run(std::move(request));
     }
-    queue->admitted.finish(ticket, steady_clock::now());
-    start_admitted(*queue);
     outcome.waited += waited;
     co_return outcome;
 }
--- a/src/libpapayabridge/session/statement_gate.hpp
+++ b/src/libpapayabridge/session/statement_gate.hpp
@@ -43,6 +43,7 @@
 private:
     struct waiter;
     struct member_queue;
+    class held_slot;
 
     std::optional<error> find_obstacle(const member_request& request) const;
     member_queue& queue_of(const member_id& member);
