Direct connections stay where many entries each have one and seldom need two

Its replicas stay behind for seconds; all reads then go to a primary whose slots are full (4 slots, 96% used), and each hop costs processor time at one entry.

Change: an entry that can have a connection of its own, and whose part of a member's load is under a sixteenth of a slot, needs no gate.

--- a/src/libpapayabridge/core/gate_placement.cpp
+++ b/src/libpapayabridge/core/gate_placement.cpp
@@ -12,6 +12,9 @@
 
 // With a smaller share one idle transaction takes half or all of an entry's connections.
 constexpr unsigned min_direct_share = 3;
+// With this many entries for each slot of a member, an entry's part of its load is so
+// small that one connection is enough.
+constexpr std::size_t entries_per_slot = 16;
 // A second gate takes over at once if the first fails; more would divide the queue, whose
 // order is only known within one gate.
 constexpr std::size_t max_gates = 2;
@@ -34,10 +37,13 @@
 
 } // namespace
 
-bool needs_gates(unsigned max_connections, std::size_t entry_count)
+bool needs_gates(unsigned max_connections, unsigned member_slots, std::size_t entry_count)
 {
-    return connection_share(max_connections, std::max<std::size_t>(1, entry_count)) <
-           min_direct_share;
+    auto entries = std::max<std::size_t>(1, entry_count);
+    auto share = connection_share(max_connections, entries);
+    bool fits = share * entries < max_connections;
+    bool seldom_needs_two = entries >= entries_per_slot * std::max(1U, member_slots);
+    return share < min_direct_share && !(fits && seldom_needs_two);
 }
 
 std::size_t gate_count(std::size_t entry_count, std::size_t member_count)
--- a/src/libpapayabridge/core/gate_placement.hpp
+++ b/src/libpapayabridge/core/gate_placement.hpp
@@ -38,8 +38,10 @@
 };
 
 /// Whether statements go through gates: the share of each of \p entry_count entries in
-/// the \p max_connections of a member is too small for direct connections.
-bool needs_gates(unsigned max_connections, std::size_t entry_count);
+/// the \p max_connections of a member with \p member_slots is too small for direct
+/// connections.
+bool needs_gates(unsigned max_connections, unsigned member_slots,
+                 std::size_t entry_count);
 
 /// The number of gates of a member if \p entry_count entries and \p member_count members
 /// are in its failure domain. At least 1.
--- a/src/libpapayabridge/session/pool_view.cpp
+++ b/src/libpapayabridge/session/pool_view.cpp
@@ -46,8 +46,13 @@
         }
     }
     for (auto& [name, service] : view.services) {
-        service.through_gates = !view.gate_entries.empty() &&
-                                needs_gates(service.limits.max_connections, view.entries);
+        unsigned slots = 1;
+        for (const auto& member : service.members) {
+            slots = std::max(slots, member.slots);
+        }
+        service.through_gates =
+            !view.gate_entries.empty() &&
+            needs_gates(service.limits.max_connections, slots, view.entries);
         for (auto& member : service.members) {
             member.gates = gate_count(entries[member.domain], members[member.domain]);
             member.gate = limits_of_gate(service.limits.max_connections, member.slots,
