--- a/src/libpapayabridge/session/gated_access.cpp
+++ b/src/libpapayabridge/session/gated_access.cpp
@@ -20,6 +20,13 @@
 // itself. Longer than a gate avoids a member after one failure.
 constexpr std::chrono::milliseconds direct_after{300};
 
+// Says nothing of the member: the gate may have just started.
+bool does_not_know_member(const member_outcome& outcome)
+{
+    return outcome.stage == run_stage::waiting && !outcome.answer &&
+           outcome.answer.error().kind == error_kind::not_found;
+}
+
 // Whether the gate took the statement but cannot use the member.
 bool cannot_reach_member(const member_outcome& outcome)
 {
@@ -169,9 +176,11 @@
     const auto* viewed = service != nullptr ? service->member(member) : nullptr;
     auto gates = viewed != nullptr ? gates_of(*viewed) : std::vector<entry_id>();
     std::optional<member_outcome> refused;
+    bool is_unknown = false;
     for (const auto& gate : gates) {
         if (gate == options_.self) {
             refused.reset();
+            is_unknown = false;
             break;
         }
         auto* link = link_to(gate);
@@ -182,6 +191,10 @@
         if (reply.gate_failed) {
             continue;
         }
+        if (does_not_know_member(reply.outcome)) {
+            is_unknown = true;
+            continue;
+        }
         if (!cannot_reach_member(reply.outcome)) {
             record_use(member, request, reply.outcome);
             co_return std::move(reply.outcome);
@@ -196,6 +209,12 @@
             co_return std::move(*refused);
         }
     }
+    if (is_unknown) {
+        // The gates have just started, or know that the member has left.
+        co_return failed_outcome(
+            run_stage::waiting,
+            fail(error_kind::unreachable, member.str() + " is not known at its gates"));
+    }
     auto outcome = co_await options_.gate.run(std::move(narrowed));
     co_return outcome;
 }
--- a/src/libpapayabridge/session/statement_gate.hpp
+++ b/src/libpapayabridge/session/statement_gate.hpp
@@ -32,8 +32,8 @@
     /// Adopts the members and limits of \p view.
     void update(std::shared_ptr<const pool_view> view);
     /// Runs \p request at the first of its members. A refusal of stage `waiting` has the
-    /// kind `unreachable` if the member cannot be used and `overloaded` if it has no
-    /// room.
+    /// kind `not_found` if this process does not know the member, `unreachable` if the
+    /// member cannot be used and `overloaded` if it has no room.
     net::awaitable<member_outcome> run(member_request request) override;
 
     /// Statements that run, outside of open transactions, and that wait.
