A member that its gate does not know is never told as a missing database

Cause, found in reading: an entry that is itself the gate refused with `not_found` if the member left the view while the statement waited; the caller got "no such database", which reads as an older configuration.

Change: gated_access turns it into `unreachable` on every way.

--- a/src/libpapayabridge/session/gated_access.cpp
+++ b/src/libpapayabridge/session/gated_access.cpp
@@ -209,13 +209,18 @@
             co_return std::move(*refused);
         }
     }
+    member_outcome outcome;
+    if (!is_unknown) {
+        outcome = co_await options_.gate.run(std::move(narrowed));
+        is_unknown = does_not_know_member(outcome);
+    }
     if (is_unknown) {
-        // The gates have just started, or know that the member has left.
-        co_return failed_outcome(
+        // The gates have just started, or know that the member has left. Callers take
+        // `not_found` for a missing database.
+        outcome = failed_outcome(
             run_stage::waiting,
             fail(error_kind::unreachable, member.str() + " is not known at its gates"));
     }
-    auto outcome = co_await options_.gate.run(std::move(narrowed));
     co_return outcome;
 }
 
