Keepers tell whether their state is complete; entries tell which keeper they follow

A keeper that heard its leader could not be told from one that had applied what the leader said: entries behind a stalled disk showed no line at all, and which keeper they followed had to be guessed.

core/applied_freshness keeps the time at which nothing committed was missing, from what the leader tells and what is applied. Nothing acts on it yet.

--- a/src/include/papayabridge/keeper_client.hpp
+++ b/src/include/papayabridge/keeper_client.hpp
@@ -111,6 +111,8 @@
     /// Replaces the keepers; \p keepers must be in order of distance.
     void set_keepers(std::vector<tcp::endpoint> keepers);
     const std::vector<tcp::endpoint>& keepers() const noexcept { return keepers_; }
+    /// The keeper that the next watch() asks. Empty if none is known.
+    std::optional<tcp::endpoint> current_keeper() const;
 
 private:
     /// The keeper in use, and the state of probing the nearest.
--- a/src/libpapayabridge/core/consensus.cpp
+++ b/src/libpapayabridge/core/consensus.cpp
@@ -129,6 +129,9 @@
         check_quorum();
         continue_transfer();
     }
+    if (role_ == keeper_role::leader && commit_index_ >= term_start_index_) {
+        commit_notice_ = {.commit = commit_index_, .at = now_};
+    }
     if (role_ == keeper_role::leader && now_ >= heartbeat_due_) {
         heartbeat_due_ = now_ + options_.heartbeat;
         broadcast();
--- a/src/libpapayabridge/core/consensus.hpp
+++ b/src/libpapayabridge/core/consensus.hpp
@@ -45,6 +45,13 @@
     std::vector<log_entry> entries;
 };
 
+/// The last committed entry that a leader told, or had itself, and when.
+struct commit_notice
+{
+    control_index commit;
+    steady_time at;
+};
+
 enum class keeper_role
 {
     follower,
@@ -119,6 +126,12 @@
     keeper_id leader(steady_time now) const;
     control_index commit_index() const noexcept { return commit_index_; }
     control_index last_index() const noexcept { return log_.last_index(); }
+    /// Empty before the first message of a leader, and on a new leader until an entry of
+    /// its term is committed.
+    const std::optional<commit_notice>& last_commit_notice() const noexcept
+    {
+        return commit_notice_;
+    }
     /// The voters after all entries known to be committed.
     voter_map voters() const { return log_.voters_at(commit_index_); }
     /// The voters whose admission a majority knows to be committed. Only once an
@@ -202,6 +215,7 @@
     steady_time election_due_;
     steady_time heartbeat_due_;
     steady_time leader_since_;
+    std::optional<commit_notice> commit_notice_;
     std::optional<steady_time> transfer_deadline_;
     bool transfer_sent_ = false;
     bool broadcast_due_ = false;
--- a/src/libpapayabridge/core/consensus_replication.cpp
+++ b/src/libpapayabridge/core/consensus_replication.cpp
@@ -89,6 +89,7 @@
     }
     become_follower(message.term, message.from);
     last_leader_contact_ = now_;
+    commit_notice_ = {.commit = request.commit, .at = now_};
     reset_election_timer();
     auto held = log_.term_at(request.previous_index);
     // Committed entries are equal in every log.
@@ -180,6 +181,7 @@
     }
     become_follower(message.term, message.from);
     last_leader_contact_ = now_;
+    commit_notice_ = {.commit = request.snapshot.index, .at = now_};
     reset_election_timer();
     const auto& snapshot = request.snapshot;
     append_response response{.matched = true, .index = commit_index_};
--- a/src/libpapayabridge/core/metric_table.cpp
+++ b/src/libpapayabridge/core/metric_table.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<metric_row, 22> rows{{
+constexpr std::array<metric_row, 23> rows{{
     {"papaya_configuration_version", "gauge", "version", "",
      "Configuration in force at an entry, or held by a keeper"},
     {"papaya_control_index", "gauge", "commands", "",
@@ -21,6 +21,8 @@
     {"papaya_gate_transactions", "gauge", "transactions", "",
      "Transactions that other entries have open at gates here"},
     {"papaya_gate_waiting", "gauge", "statements", "", "Statements queued at gates here"},
+    {"papaya_keeper_is_current", "gauge", "0 or 1", "",
+     "Whether this keeper has applied all that its leader told"},
     {"papaya_keeper_leads", "gauge", "0 or 1", "", "Whether this keeper leads"},
     {"papaya_link_received_bytes", "gauge", "bytes", "region cause",
      "Bytes received since the start"},
--- a/src/libpapayabridge/net/keeper_client.cpp
+++ b/src/libpapayabridge/net/keeper_client.cpp
@@ -97,6 +97,14 @@
     return keepers_[known.current];
 }
 
+std::optional<tcp::endpoint> keeper_client::current_keeper() const
+{
+    if (keepers_.empty()) {
+        return std::nullopt;
+    }
+    return keepers_[selection_->current];
+}
+
 void keeper_client::set_keepers(std::vector<tcp::endpoint> keepers)
 {
     if (keepers != keepers_) {
--- a/src/libpapayabridge/session/session_entry.cpp
+++ b/src/libpapayabridge/session/session_entry.cpp
@@ -188,12 +188,24 @@
     }
 }
 
+void session_entry::log_followed_keeper(const std::optional<tcp::endpoint>& keeper)
+{
+    auto at = keeper ? to_string(*keeper) : std::string();
+    log_line(log_event::keeper_followed,
+             {{"keeper", at}, {"applied", log_number(state_.applied_index().value())}});
+}
+
 net::awaitable<void> session_entry::follow_keepers()
 {
     entry_identity self{.id = settings_.id, .incarnation = incarnation_};
     bool connected = false;
+    std::optional<tcp::endpoint> followed;
     while (true) {
         auto from = state_confirmed_ ? state_.applied_index() : control_index();
+        if (keepers_.current_keeper() != followed) {
+            followed = keepers_.current_keeper();
+            log_followed_keeper(followed);
+        }
         auto update = co_await keepers_.watch(from, watch_wait, self, !state_confirmed_);
         if (update) {
             apply_update(std::move(update.value()));
--- a/src/libpapayabridge/session/session_entry.hpp
+++ b/src/libpapayabridge/session/session_entry.hpp
@@ -55,6 +55,7 @@
     void update_view();
     void update_keeper_endpoints();
     void update_gauges() const;
+    void log_followed_keeper(const std::optional<tcp::endpoint>& keeper);
     void log_keeper_contact(const result<watch_update>& update);
     void log_member_changes(const pool_view& before, const pool_view& now) const;
     void close_sessions(bool include_transactions, bool include_running);
--- a/src/papayakeeper/main.cpp
+++ b/src/papayakeeper/main.cpp
@@ -96,6 +96,7 @@
         .set(log_number(state.pool().configuration().version.value()));
     registry.gauge_of("papaya_keeper_leads")
         .set(replicated.duties().is_leading() ? 1 : 0);
+    registry.gauge_of("papaya_keeper_is_current").set(replicated.is_current() ? 1 : 0);
 }
 
 exit_code run(const daemon_options& options)
--- a/src/papayakeeper/replicator.cpp
+++ b/src/papayakeeper/replicator.cpp
@@ -16,6 +16,9 @@
 
 constexpr std::chrono::milliseconds tick_interval{20};
 constexpr std::chrono::milliseconds handover_timeout{600};
+// A state that was complete within this time counts as current. Much longer than the
+// heartbeats and writes of a healthy group take.
+constexpr std::chrono::milliseconds max_state_age{800};
 // Entries before a snapshot that stay in memory for followers slightly behind it.
 constexpr std::uint64_t max_kept_entries = 100;
 
@@ -37,7 +40,8 @@
       log_(files, settings.data), applied_(control), proposals_(control),
       duties_({.entry_timeout = settings.entry_timeout,
                .transition_timeout = settings.transition_timeout}),
-      output_timer_(control), started_(steady_clock::now())
+      output_timer_(control), currency_changed_at_(steady_clock::now()),
+      started_(steady_clock::now())
 {
     seeds_ = settings.seeds;
 }
@@ -110,6 +114,8 @@
     while (!storage_failure_) {
         consensus_->tick(steady_clock::now());
         update_role();
+        record_commit_notice();
+        log_currency();
         propose_due_commands();
         wake_output_loop();
         co_await sleep_for(tick_interval);
@@ -148,6 +154,7 @@
         for (const auto& entry : output.committed) {
             apply(entry);
         }
+        freshness_.record_applied(applied_.applied());
         send_snapshots(output.snapshot_receivers);
         auto saved = co_await save_snapshot();
         if (!saved) {
@@ -235,6 +242,7 @@
         return fail(error_kind::storage_failed, "a snapshot is not readable");
     }
     applied_.install(snapshot.index, std::move(state.value()));
+    freshness_.record_applied(snapshot.index);
     set_peer_endpoints(applied_.state().pool());
     snapshot_index_ = snapshot.index;
     return success();
@@ -282,6 +290,7 @@
         duties_.record_contact(entry, now);
     }
     consensus_->step(received->message, now);
+    record_commit_notice();
     wake_output_loop();
 }
 
@@ -333,6 +342,50 @@
            !consensus_->leader(steady_clock::now()).empty();
 }
 
+std::optional<std::chrono::milliseconds> replicator::state_age() const
+{
+    auto complete = freshness_.complete_as_of();
+    if (!complete) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<std::chrono::milliseconds>(steady_clock::now() -
+                                                                 *complete);
+}
+
+bool replicator::is_current() const
+{
+    auto age = state_age();
+    return leader_known() && age && *age < max_state_age;
+}
+
+void replicator::record_commit_notice()
+{
+    if (const auto& notice = consensus_->last_commit_notice()) {
+        freshness_.record_commit(notice->commit, notice->at);
+    }
+}
+
+void replicator::log_currency()
+{
+    bool current = is_current();
+    if (current == was_current_) {
+        return;
+    }
+    was_current_ = current;
+    auto now = steady_clock::now();
+    auto applied = log_number(applied_.applied().value());
+    if (current) {
+        log_line(
+            log_event::keeper_current,
+            {{"applied", applied}, {"after_us", log_us(now - currency_changed_at_)}});
+    } else {
+        const auto& notice = consensus_->last_commit_notice();
+        auto commit = notice ? log_number(notice->commit.value()) : -1;
+        log_line(log_event::keeper_behind, {{"applied", applied}, {"commit", commit}});
+    }
+    currency_changed_at_ = now;
+}
+
 net::awaitable<void> replicator::shut_down()
 {
     stopping_ = true;
--- a/src/papayakeeper/replicator.hpp
+++ b/src/papayakeeper/replicator.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "applied_state.hpp"
+#include "core/applied_freshness.hpp"
 #include "core/consensus.hpp"
 #include "core/leader_duties.hpp"
 #include "keeper_settings.hpp"
@@ -51,6 +52,12 @@
     /// Whether this keeper leads or is in contact with a leader. False while it stops and
     /// after a storage failure.
     bool leader_known() const;
+    /// Whether the applied state holds all that was committed a short time ago. False
+    /// without a leader, and while the storage or the network keeps the state behind.
+    bool is_current() const;
+    /// How long the applied state may have been incomplete. Empty if it never was
+    /// complete.
+    std::optional<std::chrono::milliseconds> state_age() const;
     keeper_status status() const;
     applied_state& applied() noexcept { return applied_; }
     leader_duties& duties() noexcept { return duties_; }
@@ -79,6 +86,8 @@
     void apply(const log_entry& entry);
     void propose_due_commands();
     void update_role();
+    void record_commit_notice();
+    void log_currency();
     void fail_storage(const error& failure);
     void wake_output_loop();
     net::awaitable<result<proposal_outcome>> propose_locally(const std::string& text,
@@ -106,6 +115,9 @@
     control_index snapshot_index_;
     std::optional<error> storage_failure_;
     std::optional<time_point> write_started_at_;
+    applied_freshness freshness_;
+    bool was_current_ = false;
+    time_point currency_changed_at_;
     keeper_role last_role_ = keeper_role::follower;
     time_point started_;
     bool stopping_ = false;
