Entries leave a keeper that hears its leader but has not applied what it told

Cause: a keeper told its watchers that it was fit to follow as long as it heard a leader. While a write of its disk was stalled it went on hearing the leader and applied nothing.

Ruled out: a lost connection (the watches were answered), the leader (the stalled keeper followed), the entries (those of the other domains were up to date).

One that is not answers its waiting watchers at once, with the flag that sends them to the next keeper, tells so in its status, which is what draws entries back, and does not swallow an announcement as known.

Tests: keeper_group_test runs three keepers over loopback on files that can stall.

--- a/src/include/papayabridge/keeper_client.hpp
+++ b/src/include/papayabridge/keeper_client.hpp
@@ -35,8 +35,9 @@
     control_index applied;
     std::vector<indexed_command> commands;
     std::optional<control_state> snapshot;
-    /// Whether the keeper is in contact with a leader.
-    bool leader_known = false;
+    /// Whether the keeper hears a leader and has applied what it told. Otherwise another
+    /// keeper is to be asked.
+    bool is_current = false;
     /// Whether the state includes everything accepted before the call. Set only if the
     /// watch asked for confirmation.
     bool is_up_to_date = false;
@@ -59,6 +60,8 @@
     std::uint64_t term = 0;
     /// Empty if unknown.
     keeper_id leader;
+    /// Whether the keeper has applied what its leader told.
+    bool is_current = false;
     control_index applied;
     control_index committed;
     std::vector<keeper_id> voters;
--- a/src/libpapayabridge/entry/entry_process.cpp
+++ b/src/libpapayabridge/entry/entry_process.cpp
@@ -149,7 +149,7 @@
             co_await pause_for(watch_retry_delay);
             continue;
         }
-        if (update.value().leader_known) {
+        if (update.value().is_current) {
             view_.record_keeper_contact(steady_clock::now());
         }
         apply_update(std::move(update.value()));
--- a/src/libpapayabridge/net/keeper_client.cpp
+++ b/src/libpapayabridge/net/keeper_client.cpp
@@ -78,7 +78,7 @@
     preferred->is_probing = false;
     preferred->next_probe_at = steady_clock::now() + rest;
     auto status = answer ? keeper_status_from(answer.value().body) : answer.error();
-    if (status && !status.value().leader.empty()) {
+    if (status && status.value().is_current) {
         preferred->current = 0;
     }
 }
@@ -186,7 +186,7 @@
         advance_to_next_keeper();
         co_return fail(error_kind::behind, "the keeper holds less than this watcher");
     }
-    if (!update || !update.value().leader_known) {
+    if (!update || !update.value().is_current) {
         advance_to_next_keeper();
     }
     co_return update;
--- a/src/libpapayabridge/net/keeper_client_test.cpp
+++ b/src/libpapayabridge/net/keeper_client_test.cpp
@@ -21,11 +21,12 @@
         server_.add_method("keeper.watch", [applied](rpc_message) {
             watch_update update;
             update.applied = control_index(applied);
-            update.leader_known = true;
+            update.is_current = true;
             return answer(to_value(update));
         });
         server_.add_method("keeper.status", [](rpc_message) {
-            return answer(to_value(keeper_status{.leader = keeper_id("k")}));
+            return answer(
+                to_value(keeper_status{.leader = keeper_id("k"), .is_current = true}));
         });
         EXPECT_TRUE(server_.start());
     }
--- a/src/libpapayabridge/net/keeper_messages.cpp
+++ b/src/libpapayabridge/net/keeper_messages.cpp
@@ -62,7 +62,8 @@
 {
     Json::Value value;
     value["applied"] = Json::UInt64(update.applied.value());
-    value["leader_known"] = update.leader_known;
+    // The name of earlier versions, which meant contact with a leader only.
+    value["leader_known"] = update.is_current;
     value["newest"] = update.is_up_to_date;
     if (update.snapshot) {
         value["snapshot"] = update.snapshot->snapshot();
@@ -85,7 +86,7 @@
     }
     watch_update update;
     update.applied = control_index(number_of(value, "applied"));
-    update.leader_known = flag_of(value, "leader_known");
+    update.is_current = flag_of(value, "leader_known");
     update.is_up_to_date = flag_of(value, "newest");
     if (value["snapshot"].isObject()) {
         auto state = control_state::from_snapshot(value["snapshot"]);
@@ -112,6 +113,7 @@
     value["role"] = status.role;
     value["term"] = Json::UInt64(status.term);
     value["leader"] = status.leader.str();
+    value["is_current"] = status.is_current;
     value["applied"] = Json::UInt64(status.applied.value());
     value["committed"] = Json::UInt64(status.committed.value());
     value["voters"] = ids_to_value(status.voters);
@@ -138,6 +140,9 @@
     status.role = text_of(value, "role");
     status.term = number_of(value, "term");
     status.leader = keeper_id(text_of(value, "leader"));
+    // Earlier versions do not tell.
+    status.is_current = value.isMember("is_current") ? flag_of(value, "is_current")
+                                                     : !status.leader.empty();
     status.applied = control_index(number_of(value, "applied"));
     status.committed = control_index(number_of(value, "committed"));
     status.voters = ids_from(value["voters"]);
--- a/src/papayakeeper/keeper_control.cpp
+++ b/src/papayakeeper/keeper_control.cpp
@@ -58,6 +58,10 @@
 net::awaitable<result<void>> keeper_control::announce(pooled_member member)
 {
     if (!replicated_.applied().state().pool().is_update(member)) {
+        if (!replicated_.is_current()) {
+            // It may be news against what the others hold.
+            co_return fail(error_kind::no_quorum, "this keeper's state may be old");
+        }
         co_return success();
     }
     log_line(log_event::member_reported,
--- /dev/null
+++ b/src/papayakeeper/keeper_group_test.hpp
@@ -0,0 +1,225 @@
+/// \file keeper_group_test.hpp
+/// Test fixture: three keepers in one process that talk over loopback, each on files that
+/// can be made to fail or to stall.
+
+#pragma once
+
+#include "keeper_service.hpp"
+#include "net/run_awaitable.hpp"
+
+#include <array>
+#include <cerrno>
+#include <condition_variable>
+#include <filesystem>
+#include <gtest/gtest.h>
+#include <mutex>
+#include <papayabridge/keeper_client.hpp>
+#include <thread>
+
+namespace papayabridge {
+
+// Operating system files whose writes fail or wait while a state is set. Used by the
+// storage thread, changed by the test.
+class troubled_files : public posix_file_calls
+{
+public:
+    enum class state
+    {
+        good,
+        full,
+        stalled
+    };
+
+    ssize_t write(int file, std::string_view bytes) override
+    {
+        std::unique_lock lock(mutex_);
+        changed_.wait(lock, [this] { return state_ != state::stalled; });
+        if (state_ == state::full) {
+            errno = ENOSPC;
+            return -1;
+        }
+        return posix_file_calls::write(file, bytes);
+    }
+
+    void set(state next)
+    {
+        std::lock_guard lock(mutex_);
+        state_ = next;
+        changed_.notify_all();
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    state state_ = state::good;
+};
+
+// One keeper with a storage thread of its own.
+class group_keeper
+{
+public:
+    group_keeper(net::io_context& control, keeper_settings settings)
+        : settings_(std::move(settings)),
+          clients_(std::make_shared<rpc_clients>(
+              control.get_executor(), std::make_shared<link_table>(), token_codec("k"))),
+          keeper(control.get_executor(), storage_.get_executor(), settings_, clients_,
+                 events_, files),
+          server_(control.get_executor(), settings_.rpc, token_codec("k")),
+          service_(settings_, keeper, events_)
+    {
+        service_.register_methods(server_);
+    }
+    ~group_keeper()
+    {
+        files.set(troubled_files::state::good);
+        storage_.stop();
+        thread_.join();
+    }
+    group_keeper(const group_keeper&) = delete;
+    group_keeper& operator=(const group_keeper&) = delete;
+
+    void start()
+    {
+        ASSERT_TRUE(server_.start());
+        keeper.open();
+        keeper.start();
+    }
+    const keeper_settings& settings() const noexcept { return settings_; }
+
+    troubled_files files;
+
+private:
+    keeper_settings settings_;
+    event_log events_{settings_.id.str()};
+    std::shared_ptr<rpc_clients> clients_;
+    net::io_context storage_;
+    net::executor_work_guard<net::io_context::executor_type> storage_work_{
+        storage_.get_executor()};
+
+public:
+    replicator keeper;
+
+private:
+    rpc_server server_;
+    keeper_service service_;
+    std::thread thread_{[this] { storage_.run(); }};
+};
+
+class keeper_group_test : public ::testing::Test
+{
+protected:
+    static constexpr std::size_t keeper_count = 3;
+
+    keeper_group_test()
+    {
+        std::string name = ::testing::TempDir() + "keeper_group_XXXXXX";
+        folder_ = ::mkdtemp(name.data());
+        std::vector<keeper_address> peers;
+        for (std::size_t i = 0; i < keeper_count; ++i) {
+            tcp::acceptor free_port(context,
+                                    tcp::endpoint(net::ip::make_address("127.0.0.1"), 0));
+            peers.push_back({.id = keeper_id("k" + std::to_string(i + 1)),
+                             .rpc = free_port.local_endpoint()});
+        }
+        for (std::size_t i = 0; i < keeper_count; ++i) {
+            auto data = folder_ + "/" + peers[i].id.str();
+            std::filesystem::create_directory(data);
+            keeper_settings settings;
+            settings.id = peers[i].id;
+            settings.rpc = peers[i].rpc;
+            settings.data = data;
+            settings.fleet_key = "k";
+            settings.peers = peers;
+            settings.links = std::make_shared<link_table>();
+            settings.snapshot_interval = 10;
+            keepers[i] = std::make_unique<group_keeper>(context, std::move(settings));
+        }
+    }
+    ~keeper_group_test() override
+    {
+        context.stop();
+        keepers = {};
+        std::filesystem::remove_all(folder_);
+    }
+
+    void start()
+    {
+        for (auto& one : keepers) {
+            one->start();
+        }
+        run_until([this] {
+            return std::all_of(keepers.begin(), keepers.end(),
+                               [](const auto& one) { return one->keeper.is_current(); });
+        });
+    }
+
+    group_keeper& leader()
+    {
+        auto found = std::find_if(keepers.begin(), keepers.end(), [](const auto& one) {
+            return one->keeper.duties().is_leading();
+        });
+        EXPECT_NE(found, keepers.end());
+        return **found;
+    }
+
+    // The followers, in order of id.
+    std::vector<group_keeper*> followers()
+    {
+        std::vector<group_keeper*> all;
+        for (auto& one : keepers) {
+            if (!one->keeper.duties().is_leading()) {
+                all.push_back(one.get());
+            }
+        }
+        return all;
+    }
+
+    result<proposal_outcome> propose_configuration(group_keeper& at, std::uint64_t base)
+    {
+        command change =
+            change_configuration{.base = config_version(base),
+                                 .change = change_id("c" + std::to_string(base))};
+        auto deadline = steady_clock::now() + std::chrono::seconds(3);
+        return run_awaitable(context,
+                             at.keeper.propose(std::move(change), deadline, false));
+    }
+
+    // One watch of an entry that knows nothing yet.
+    result<watch_update> watch(group_keeper& at)
+    {
+        keeper_client client(context.get_executor(), clients_, {at.settings().rpc});
+        return run_awaitable(
+            context, client.watch(control_index(), std::chrono::milliseconds(10), {}));
+    }
+
+    static config_version version_at(group_keeper& one)
+    {
+        return one.keeper.applied().state().configuration().version;
+    }
+
+    void run_for(std::chrono::milliseconds time)
+    {
+        context.restart();
+        context.run_for(time);
+    }
+
+    void run_until(const std::function<bool()>& condition)
+    {
+        auto end = steady_clock::now() + std::chrono::seconds(20);
+        while (!condition() && steady_clock::now() < end) {
+            context.restart();
+            context.run_one_for(std::chrono::milliseconds(5));
+        }
+        ASSERT_TRUE(condition());
+    }
+
+    net::io_context context;
+    std::array<std::unique_ptr<group_keeper>, keeper_count> keepers;
+
+private:
+    std::string folder_;
+    std::shared_ptr<rpc_clients> clients_ = std::make_shared<rpc_clients>(
+        context.get_executor(), std::make_shared<link_table>(), token_codec("k"));
+};
+
+} // namespace papayabridge
--- a/src/papayakeeper/keeper_service.cpp
+++ b/src/papayakeeper/keeper_service.cpp
@@ -102,14 +102,14 @@
     }
     auto& applied = replicated_.applied();
     auto deadline = steady_clock::now() + wait;
-    if (!replicated_.leader_known()) {
+    if (!replicated_.is_current()) {
         // Short, so that the watcher soon tries another keeper; not zero, so that it does
         // not ask in a busy loop.
         deadline = std::min(deadline, steady_clock::now() + leaderless_wait);
     }
     co_await applied.wait_for_command_after(from, deadline);
     auto update = applied.update_after(from);
-    update.leader_known = replicated_.leader_known();
+    update.is_current = replicated_.is_current();
     update.is_up_to_date = is_up_to_date;
     rpc_message answer;
     answer.body = to_value(update);
--- /dev/null
+++ b/src/papayakeeper/keeper_service_test.cpp
@@ -0,0 +1,68 @@
+#include "keeper_group_test.hpp"
+
+namespace papayabridge {
+
+// The leader is heard all the while, so the watchers of this keeper would stay at an old
+// configuration for as long as the write takes.
+TEST_F(keeper_group_test, a_keeper_whose_write_stalls_sends_its_watchers_elsewhere)
+{
+    start();
+    auto& stalled = *followers().front();
+    ASSERT_TRUE(propose_configuration(leader(), 0));
+    run_until([&] { return version_at(stalled) == config_version(1); });
+    ASSERT_TRUE(watch(stalled).value().is_current);
+
+    stalled.files.set(troubled_files::state::stalled);
+    ASSERT_TRUE(propose_configuration(leader(), 1));
+    run_for(std::chrono::milliseconds(1500));
+    EXPECT_TRUE(stalled.keeper.leader_known());
+    EXPECT_EQ(version_at(stalled), config_version(1));
+    EXPECT_FALSE(watch(stalled).value().is_current);
+    EXPECT_TRUE(watch(leader()).value().is_current);
+
+    stalled.files.set(troubled_files::state::good);
+    run_until([&] { return version_at(stalled) == config_version(2); });
+    run_until([&] { return stalled.keeper.is_current(); });
+    EXPECT_TRUE(watch(stalled).value().is_current);
+}
+
+// A watch that waits for news at such a keeper must not wait to its end.
+TEST_F(keeper_group_test, a_waiting_watcher_is_told_when_its_keeper_falls_behind)
+{
+    start();
+    auto& stalled = *followers().front();
+    run_until([&] { return stalled.keeper.is_current(); });
+    stalled.files.set(troubled_files::state::stalled);
+    auto applied = stalled.keeper.applied().state().applied_index();
+    keeper_client client(context.get_executor(),
+                         std::make_shared<rpc_clients>(context.get_executor(),
+                                                       std::make_shared<link_table>(),
+                                                       token_codec("k")),
+                         {stalled.settings().rpc});
+    std::optional<result<watch_update>> update;
+    auto asked_at = steady_clock::now();
+    net::co_spawn(
+        context, keep_result(client.watch(applied, std::chrono::seconds(20), {}), update),
+        net::detached);
+    ASSERT_TRUE(propose_configuration(leader(), 0));
+    run_until([&] { return update.has_value(); });
+    ASSERT_TRUE(*update);
+    EXPECT_FALSE(update->value().is_current);
+    EXPECT_LT(steady_clock::now() - asked_at, std::chrono::seconds(10));
+}
+
+// An entry that asks its nearest keeper for its status must not be drawn back to it.
+TEST_F(keeper_group_test, the_status_of_a_keeper_tells_that_it_is_behind)
+{
+    start();
+    auto& stalled = *followers().front();
+    EXPECT_TRUE(stalled.keeper.status().is_current);
+    stalled.files.set(troubled_files::state::stalled);
+    ASSERT_TRUE(propose_configuration(leader(), 0));
+    run_for(std::chrono::milliseconds(1500));
+    auto status = keeper_status_from(to_value(stalled.keeper.status())).value();
+    EXPECT_FALSE(status.is_current);
+    EXPECT_FALSE(status.alarms.empty());
+}
+
+} // namespace papayabridge
--- a/src/papayakeeper/replicator.cpp
+++ b/src/papayakeeper/replicator.cpp
@@ -115,7 +115,7 @@
         consensus_->tick(steady_clock::now());
         update_role();
         record_commit_notice();
-        log_currency();
+        update_currency();
         propose_due_commands();
         wake_output_loop();
         co_await sleep_for(tick_interval);
@@ -365,7 +365,7 @@
     }
 }
 
-void replicator::log_currency()
+void replicator::update_currency()
 {
     bool current = is_current();
     if (current == was_current_) {
@@ -382,6 +382,7 @@
         const auto& notice = consensus_->last_commit_notice();
         auto commit = notice ? log_number(notice->commit.value()) : -1;
         log_line(log_event::keeper_behind, {{"applied", applied}, {"commit", commit}});
+        applied_.wake_watchers();
     }
     currency_changed_at_ = now;
 }
--- a/src/papayakeeper/replicator.hpp
+++ b/src/papayakeeper/replicator.hpp
@@ -87,7 +87,7 @@
     void propose_due_commands();
     void update_role();
     void record_commit_notice();
-    void log_currency();
+    void update_currency();
     void fail_storage(const error& failure);
     void wake_output_loop();
     net::awaitable<result<proposal_outcome>> propose_locally(const std::string& text,
--- a/src/papayakeeper/replicator_status.cpp
+++ b/src/papayakeeper/replicator_status.cpp
@@ -68,6 +68,8 @@
     }
     if (!leader_known()) {
         alarms.emplace_back("no leader is heard");
+    } else if (!is_current()) {
+        alarms.emplace_back("hears the leader, but has not applied what it told");
     }
     return alarms;
 }
@@ -90,6 +92,7 @@
         votes ? role_names.at(static_cast<std::size_t>(consensus_->role())) : "learner";
     status.term = consensus_->term().value();
     status.leader = consensus_->leader(steady_clock::now());
+    status.is_current = is_current();
     status.committed = consensus_->commit_index();
     for (const auto& [id, incarnation] : consensus_->settled_voters()) {
         status.voters.push_back(id);
