No process waits for the disk to record an event, and a full disk does not end the record

After a full disk the stream stayed failed, so no later event was recorded either: a state set by a passing fault and never taken back.

The event log has a sink instead of a file, so core/events has no I/O left.

--- a/src/include/papayabridge/events.hpp
+++ b/src/include/papayabridge/events.hpp
@@ -6,7 +6,7 @@
 #include <atomic>
 #include <cstdint>
 #include <deque>
-#include <fstream>
+#include <functional>
 #include <json/value.h>
 #include <mutex>
 #include <papayabridge/ids.hpp>
@@ -87,15 +87,16 @@
     std::uint64_t stamp = 0;
 };
 
-/// Keeps the latest events in memory and can append state changes to a file. Thread-safe.
+/// Keeps the latest events in memory and can pass state changes on. Thread-safe.
 class event_log
 {
 public:
     explicit event_log(std::string process, std::size_t most = 20000);
 
-    /// Appends state changes to \p file from now on.
-    void append_to_file(const std::string& file);
-    /// Stamps and records \p happened. Request events are never written to the file.
+    /// Passes state changes, as JSON in one line, to \p sink from now on. It must not
+    /// block.
+    void set_sink(std::function<void(std::string_view)> sink);
+    /// Stamps and records \p happened. Request events are never passed to the sink.
     void record(event happened);
     /// Events with a stamp after \p after, as a JSON array; only those of \p request if
     /// it is not empty.
@@ -109,7 +110,7 @@
     std::size_t capacity_;
     mutable std::mutex mutex_;
     std::deque<event> events_;
-    std::ofstream file_;
+    std::function<void(std::string_view)> sink_;
 };
 
 } // namespace papayabridge
--- a/src/include/papayabridge/log.hpp
+++ b/src/include/papayabridge/log.hpp
@@ -76,6 +76,8 @@
     log_tail_cut,
     storage_failed,
     storage_recovered,
+    event_file_failed,
+    event_file_recovered,
     keeper_behind,
     keeper_current,
     primary_probed,
--- a/src/libpapayabridge/core/events.cpp
+++ b/src/libpapayabridge/core/events.cpp
@@ -94,10 +94,10 @@
 {
 }
 
-void event_log::append_to_file(const std::string& file)
+void event_log::set_sink(std::function<void(std::string_view)> sink)
 {
     std::lock_guard lock(mutex_);
-    file_.open(file, std::ios::app);
+    sink_ = std::move(sink);
 }
 
 Json::Value event_log::to_value(const event& happened) const
@@ -116,8 +116,8 @@
 {
     happened.stamp = hybrid_clock::process().tick();
     std::lock_guard lock(mutex_);
-    if (file_.is_open() && changes_state(happened.kind)) {
-        file_ << to_json(to_value(happened)) << "\n" << std::flush;
+    if (sink_ && changes_state(happened.kind)) {
+        sink_(to_json(to_value(happened)));
     }
     events_.push_back(std::move(happened));
     if (events_.size() > capacity_) {
--- a/src/libpapayabridge/entry/entry_process.cpp
+++ b/src/libpapayabridge/entry/entry_process.cpp
@@ -96,7 +96,9 @@
                                         token_codec(settings_.fleet_key));
     register_methods();
     if (!settings_.data_folder.empty()) {
-        events_.append_to_file(settings_.data_folder + "/events.jsonl");
+        event_file_ = std::make_unique<line_file>(
+            files_, line_file_options{.path = settings_.data_folder + "/events.jsonl"});
+        events_.set_sink([this](std::string_view line) { event_file_->append(line); });
         auto stored = load_view(settings_.data_folder);
         if (stored) {
             state_ = std::move(stored.value());
--- a/src/libpapayabridge/entry/entry_process.hpp
+++ b/src/libpapayabridge/entry/entry_process.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "caller_service.hpp"
+#include "store/line_file.hpp"
 #include "transition_driver.hpp"
 
 #include <papayabridge/daemon.hpp>
@@ -48,6 +49,8 @@
     entry_settings settings_;
     std::uint64_t incarnation_;
     event_log events_;
+    posix_file_calls files_;
+    std::unique_ptr<line_file> event_file_;
     view_holder view_;
     control_state state_;
     rpc_clients clients_;
--- a/src/papayakeeper/main.cpp
+++ b/src/papayakeeper/main.cpp
@@ -3,6 +3,7 @@
 #include "keeper_control.hpp"
 #include "keeper_service.hpp"
 #include "net/metrics_page.hpp"
+#include "store/line_file.hpp"
 #include "tools/settings_watcher.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -110,13 +111,14 @@
     event_log events(settings.id.str());
     std::error_code create_error;
     std::filesystem::create_directories(settings.data, create_error);
-    events.append_to_file(settings.data + "/events");
+    posix_file_calls files;
+    line_file event_file(files, {.path = settings.data + "/events"});
+    events.set_sink([&event_file](std::string_view line) { event_file.append(line); });
     daemon_runtime runtime(storage_threads);
     auto executor = runtime.control_context().get_executor();
     auto clients = std::make_shared<rpc_clients>(executor, settings.links,
                                                  token_codec(settings.fleet_key));
     auto storage = runtime.traffic_contexts().front()->get_executor();
-    posix_file_calls files;
     replicator replicated(executor, storage, settings, clients, events, files);
     replicated.open();
     rpc_server server(executor, settings.rpc, token_codec(settings.fleet_key));
