A keeper that was lost is not asked again because another was selected meanwhile

Cause: while a watch waited in vain for the lost keeper, a probe selected the nearest again. The failed watch then moved on from that selection, which led back to the lost one, for another 1.5 s.

Evidence: keepers_lost at 91.012 s, keeper_followed at 92.565 s of the entry's clock, and no line of another keeper between.

Change: a failed watch moves on only from the keeper that it asked. The test failed before.

--- a/src/include/papayabridge/keeper_client.hpp
+++ b/src/include/papayabridge/keeper_client.hpp
@@ -130,7 +130,8 @@
                                               tcp::endpoint nearest,
                                               std::shared_ptr<keeper_selection> preferred,
                                               std::chrono::milliseconds probe_interval);
-    void advance_to_next_keeper();
+    /// Selects the keeper after \p asked, unless another was selected meanwhile.
+    void advance_from(const tcp::endpoint& asked);
     const tcp::endpoint& select_keeper();
 
     net::any_io_executor executor_;
--- a/src/libpapayabridge/net/keeper_client.cpp
+++ b/src/libpapayabridge/net/keeper_client.cpp
@@ -58,8 +58,13 @@
 {
 }
 
-void keeper_client::advance_to_next_keeper()
+// A probe or set_keepers() may have chosen another keeper while the one asked was being
+// called.
+void keeper_client::advance_from(const tcp::endpoint& asked)
 {
+    if (keepers_[selection_->current] != asked) {
+        return;
+    }
     selection_->current = (selection_->current + 1) % keepers_.size();
     selection_->next_probe_at = steady_clock::now() + nearest_probe_interval_;
 }
@@ -172,22 +177,23 @@
     request.body["entry"] = entry.id.str();
     request.body["incarnation"] = Json::UInt64(entry.incarnation);
     request.body["confirm"] = confirm;
-    auto& client = clients_->client_to(select_keeper());
+    auto asked = select_keeper();
+    auto& client = clients_->client_to(asked);
     auto deadline = steady_clock::now() + wait + watch_grace;
     auto answer = co_await client.call("keeper.watch", std::move(request), deadline);
     if (!answer) {
-        advance_to_next_keeper();
+        advance_from(asked);
         co_await pause(executor_, steady_clock::now() + failure_pause);
         co_return answer.error();
     }
     auto update = watch_update_from(answer.value().body);
     if (update && update.value().applied < from) {
         // What was in force must not be replaced by what was before it.
-        advance_to_next_keeper();
+        advance_from(asked);
         co_return fail(error_kind::behind, "the keeper holds less than this watcher");
     }
     if (!update || !update.value().is_current) {
-        advance_to_next_keeper();
+        advance_from(asked);
     }
     co_return update;
 }
--- a/src/libpapayabridge/net/keeper_client_test.cpp
+++ b/src/libpapayabridge/net/keeper_client_test.cpp
@@ -1,7 +1,12 @@
 #include "net/run_awaitable.hpp"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <gtest/gtest.h>
 #include <papayabridge/keeper_client.hpp>
+#include <thread>
 
 namespace papayabridge {
 
@@ -18,11 +23,11 @@
     small_keeper(net::io_context& context, tcp::endpoint listen, std::uint64_t applied)
         : server_(context.get_executor(), listen, fleet_key)
     {
-        server_.add_method("keeper.watch", [applied](rpc_message) {
+        server_.add_method("keeper.watch", [this, applied](rpc_message) {
             watch_update update;
             update.applied = control_index(applied);
             update.is_current = true;
-            return answer(to_value(update));
+            return is_silent_ ? answer_late() : answer(to_value(update));
         });
         server_.add_method("keeper.status", [](rpc_message) {
             return answer(
@@ -31,6 +36,7 @@
         EXPECT_TRUE(server_.start());
     }
     tcp::endpoint place() const { return server_.local_endpoint(); }
+    void become_silent() { is_silent_ = true; }
 
 private:
     static net::awaitable<result<rpc_message>> answer(Json::Value body)
@@ -40,7 +46,15 @@
         co_return message;
     }
 
+    static net::awaitable<result<rpc_message>> answer_late()
+    {
+        net::steady_timer timer(co_await net::this_coro::executor, 60s);
+        co_await timer.async_wait(net::as_tuple(net::use_awaitable));
+        co_return fail(error_kind::unreachable, "silent");
+    }
+
     rpc_server server_;
+    bool is_silent_ = false;
 };
 
 class keeper_client_test : public testing::Test
@@ -93,4 +107,22 @@
     EXPECT_EQ(watch(client), 8u);
 }
 
+// The second keeper is lost during a watch, while the nearest is found to be usable
+// again.
+TEST_F(keeper_client_test, a_lost_keeper_is_not_asked_again_after_the_nearest_came_back)
+{
+    auto near_place = free_place();
+    small_keeper far(context, {net::ip::make_address("127.0.0.1"), 0}, 7);
+    keeper_client client(context.get_executor(), clients, {near_place, far.place()}, 1ms);
+    EXPECT_FALSE(watch(client));
+    EXPECT_EQ(client.current_keeper(), far.place());
+    far.become_silent();
+    small_keeper near(context, near_place, 8);
+    std::this_thread::sleep_for(2ms);
+    // Probes the nearest at its start, and gets no answer from the other.
+    EXPECT_FALSE(watch(client));
+    EXPECT_EQ(client.current_keeper(), near_place);
+    EXPECT_EQ(watch(client), 8u);
+}
+
 } // namespace papayabridge
