A keeper repeats a write that failed until its disk takes it

Cause: any failed write or sync set a flag in keeper_log and in the replicator that only a restart took back. Its class: state that is set by a passing fault and never taken back.

Change: what was taken from the consensus is written again until it is durable; the log first removes what the failed attempt left, as a failed sync may leave pages that count as clean. Until then the keeper leads nothing, stands for no election, confirms nothing and passes proposals on; what it holds in memory is bounded. Reading the files at the start is tried again as well, and a keeper without an identity is no founder's voter. Damaged files still need a restart.

--- a/src/libpapayabridge/core/consensus.cpp
+++ b/src/libpapayabridge/core/consensus.cpp
@@ -122,6 +122,13 @@
     votes_.clear();
 }
 
+void consensus::resign()
+{
+    if (role_ != keeper_role::follower) {
+        become_follower(hard_.term, {});
+    }
+}
+
 void consensus::tick(steady_time now)
 {
     now_ = std::max(now_, now);
@@ -345,6 +352,12 @@
     return std::exchange(output_, {});
 }
 
+std::size_t consensus::pending_output() const
+{
+    auto unwritten = log_.last_index().next().value() - first_unwritten_.value();
+    return unwritten + output_.messages.size() + output_.messages_after_sync.size();
+}
+
 void consensus::mark_synced()
 {
     // Entries that were replaced while they were being written are not durable.
--- a/src/libpapayabridge/core/consensus.hpp
+++ b/src/libpapayabridge/core/consensus.hpp
@@ -105,11 +105,18 @@
     /// election timeout if there is none.
     void transfer_leadership(steady_time now);
 
+    /// Stops leading or standing for election, as what this keeper decides cannot be made
+    /// durable.
+    void resign();
+
     /// Adds \p peer. Messages of unknown keepers are ignored.
     void add_peer(const keeper_id& peer, steady_time now);
 
     /// The output since the last call.
     consensus_output take_output();
+    /// Messages and unwritten entries that the next output will hold. Grows while the
+    /// writes of the last one are not finished.
+    std::size_t pending_output() const;
     /// Records that the writes of the last output are durable.
     void mark_synced();
     /// A snapshot message to \p to; \p state is the state as of the last taken output.
--- a/src/libpapayabridge/store/keeper_log.cpp
+++ b/src/libpapayabridge/store/keeper_log.cpp
@@ -109,12 +109,17 @@
     }
 }
 
-error keeper_log::mark_failed(const std::string& problem)
+error keeper_log::file_error(const std::string& problem) const
 {
-    failed_ = true;
     return fail(error_kind::storage_failed, folder_ + ": " + problem);
 }
 
+error keeper_log::mark_damaged(const std::string& problem)
+{
+    is_damaged_ = true;
+    return file_error(problem);
+}
+
 result<std::optional<std::string>> keeper_log::read_file(const std::string& name)
 {
     int file = files_.open(path(name), false);
@@ -122,7 +127,7 @@
         return std::optional<std::string>();
     }
     if (file < 0) {
-        return mark_failed("cannot open " + name + ": " + std::strerror(errno));
+        return file_error("cannot open " + name + ": " + std::strerror(errno));
     }
     std::string bytes;
     std::array<char, read_chunk_bytes> chunk{};
@@ -134,7 +139,7 @@
     int read_errno = errno;
     files_.close(file);
     if (count < 0) {
-        return mark_failed("cannot read " + name + ": " + std::strerror(read_errno));
+        return file_error("cannot read " + name + ": " + std::strerror(read_errno));
     }
     return std::optional<std::string>(std::move(bytes));
 }
@@ -147,12 +152,12 @@
             continue;
         }
         if (count <= 0) {
-            return mark_failed(std::string("write failed: ") + std::strerror(errno));
+            return file_error(std::string("write failed: ") + std::strerror(errno));
         }
         bytes.remove_prefix(static_cast<std::size_t>(count));
     }
     if (files_.sync(file) < 0) {
-        return mark_failed(std::string("sync failed: ") + std::strerror(errno));
+        return file_error(std::string("sync failed: ") + std::strerror(errno));
     }
     return success();
 }
@@ -162,19 +167,25 @@
     auto temporary = path(name + temporary_suffix);
     int file = files_.open(temporary, true);
     if (file < 0) {
-        return mark_failed("cannot create " + name + ": " + std::strerror(errno));
+        return file_error("cannot create " + name + ": " + std::strerror(errno));
     }
     if (files_.truncate(file, 0) < 0) {
+        int truncate_errno = errno;
         files_.close(file);
-        return mark_failed("cannot truncate " + name + ": " + std::strerror(errno));
+        return file_error("cannot truncate " + name + ": " +
+                          std::strerror(truncate_errno));
     }
     auto written = write_all(file, bytes);
+    if (!written) {
+        // Gives the space back to other writers; the next attempt starts anew anyway.
+        static_cast<void>(files_.truncate(file, 0));
+    }
     files_.close(file);
     if (!written) {
         return written;
     }
     if (files_.rename(temporary, path(name)) < 0 || files_.sync_folder(folder_) < 0) {
-        return mark_failed("cannot rename " + name + ": " + std::strerror(errno));
+        return file_error("cannot rename " + name + ": " + std::strerror(errno));
     }
     return success();
 }
@@ -191,7 +202,7 @@
     }
     auto records = decode_records(*bytes.value());
     if (records.payloads.empty() || records.tail != record_tail::none) {
-        return mark_failed("the file " + name + " is damaged");
+        return mark_damaged("the file " + name + " is damaged");
     }
     return *bytes.value();
 }
@@ -207,7 +218,7 @@
     if (exists) {
         auto value = parse_json(decode_records(bytes.value()).payloads.front());
         if (!value) {
-            return mark_failed("the file " + identity_name + " is damaged");
+            return mark_damaged("the file " + identity_name + " is damaged");
         }
         return keeper_incarnation(number_of(value.value(), "incarnation"));
     }
@@ -217,8 +228,8 @@
             return contents.error();
         }
         if (contents.value()) {
-            return mark_failed("the file " + identity_name +
-                               " is missing although other files exist");
+            return mark_damaged("the file " + identity_name +
+                                " is missing although other files exist");
         }
     }
     Json::Value value;
@@ -243,7 +254,7 @@
     auto records = decode_records(bytes.value());
     auto header = parse_json(records.payloads.front());
     if (!header || records.payloads.size() != 2) {
-        return mark_failed("the file " + snapshot_name + " is damaged");
+        return mark_damaged("the file " + snapshot_name + " is damaged");
     }
     auto snapshot = header_from(header.value());
     snapshot.state = std::move(records.payloads.back());
@@ -283,26 +294,26 @@
     const auto& snapshot = recovered.state->snapshot;
     if (!bytes.value() && snapshot.index == control_index()) {
         // A crash after the initial snapshot was written but before its log was.
-        auto created =
-            replace_file(log_name, encode_log_header(snapshot, last_hard_state_));
-        return created ? open_log_file(0, false) : created;
+        auto header = encode_log_header(snapshot, last_hard_state_);
+        auto created = replace_file(log_name, header);
+        return created ? open_log_file(header.size(), false) : created;
     }
     auto records = decode_records(bytes.value().value_or(std::string()));
     if (records.tail == record_tail::damaged) {
-        return mark_failed("the log is damaged at byte " +
-                           std::to_string(records.valid_bytes) +
-                           ", before valid records");
+        return mark_damaged("the log is damaged at byte " +
+                            std::to_string(records.valid_bytes) +
+                            ", before valid records");
     }
     decoded_log decoded;
     for (const auto& text : records.payloads) {
         auto applied = apply_record(decoded, text);
         if (!applied) {
-            return mark_failed("the log holds an invalid record: " +
-                               applied.error().detail);
+            return mark_damaged("the log holds an invalid record: " +
+                                applied.error().detail);
         }
     }
     if (records.payloads.empty() || decoded.base.index > snapshot.index) {
-        return mark_failed("the log does not continue the snapshot");
+        return mark_damaged("the log does not continue the snapshot");
     }
     last_hard_state_ = decoded.hard;
     recovered.state->hard = decoded.hard;
@@ -318,23 +329,49 @@
     }
     log_file_ = files_.open(path(log_name), false);
     if (log_file_ < 0) {
-        return mark_failed(std::string("cannot open the log: ") + std::strerror(errno));
+        return file_error(std::string("cannot open the log: ") + std::strerror(errno));
     }
     if (truncate_tail &&
         (files_.truncate(log_file_, size) < 0 || files_.sync(log_file_) < 0)) {
-        return mark_failed(std::string("cannot truncate the log: ") +
-                           std::strerror(errno));
+        return file_error(std::string("cannot truncate the log: ") +
+                          std::strerror(errno));
+    }
+    log_size_ = size;
+    unfinished_ = unfinished_write::none;
+    return success();
+}
+
+// What a failed write or sync left behind is removed, not synced again: after a failed
+// sync the system may report unwritten pages as clean. All before it was synced earlier.
+result<void> keeper_log::remove_unfinished_append()
+{
+    if (files_.truncate(log_file_, log_size_) < 0) {
+        return file_error(std::string("cannot truncate the log: ") +
+                          std::strerror(errno));
     }
     return success();
 }
 
 result<void> keeper_log::append(const log_batch& batch)
 {
-    if (failed_ || log_file_ < 0) {
-        return mark_failed("an earlier write failed");
+    if (is_damaged_ || log_file_ < 0 || unfinished_ == unfinished_write::snapshot) {
+        return file_error("the log cannot be appended to before a snapshot is saved");
     }
-    auto written = write_all(log_file_, encode_batch(batch));
-    if (written && batch.hard) {
+    if (unfinished_ == unfinished_write::append) {
+        auto removed = remove_unfinished_append();
+        if (!removed) {
+            return removed;
+        }
+    }
+    auto bytes = encode_batch(batch);
+    unfinished_ = unfinished_write::append;
+    auto written = write_all(log_file_, bytes);
+    if (!written) {
+        return written;
+    }
+    unfinished_ = unfinished_write::none;
+    log_size_ += bytes.size();
+    if (batch.hard) {
         last_hard_state_ = *batch.hard;
     }
     return written;
@@ -343,9 +380,18 @@
 result<void> keeper_log::save_snapshot(const log_snapshot& snapshot,
                                        const std::vector<log_entry>& entries)
 {
-    if (failed_) {
-        return mark_failed("an earlier write failed");
+    if (is_damaged_ || unfinished_ == unfinished_write::append) {
+        return file_error("a snapshot cannot be saved before the log is appended to");
     }
+    // Until all files are replaced, the open log file may no longer be the one in the
+    // folder.
+    unfinished_ = unfinished_write::snapshot;
+    return replace_snapshot_and_log(snapshot, entries);
+}
+
+result<void> keeper_log::replace_snapshot_and_log(const log_snapshot& snapshot,
+                                                  const std::vector<log_entry>& entries)
+{
     auto bytes = encode_record(to_json(header_to_value(snapshot)));
     bytes += encode_record(snapshot.state);
     auto saved = replace_file(snapshot_name, bytes);
@@ -360,7 +406,7 @@
     if (!log_replaced) {
         return log_replaced;
     }
-    return open_log_file(0, false);
+    return open_log_file(log.size(), false);
 }
 
 } // namespace papayabridge
--- a/src/libpapayabridge/store/keeper_log.hpp
+++ b/src/libpapayabridge/store/keeper_log.hpp
@@ -1,9 +1,9 @@
 /// \file keeper_log.hpp
 /// The files of a keeper: identity, snapshot and log, in one data folder.
 ///
-/// Writing functions return only after the data is synced. After a failed write or sync
-/// the content of the disk is unknown, so nothing more is written until the process is
-/// restarted.
+/// Writing functions return only after the data is synced. A write that fails may be
+/// repeated until it succeeds, and only it: no other is accepted before. What was durable
+/// before it stays so.
 
 #pragma once
 
@@ -39,35 +39,50 @@
     keeper_log& operator=(const keeper_log&) = delete;
 
     /// Reads all files. In an empty folder, \p new_incarnation is stored as the
-    /// incarnation. Damage other than an incomplete record at the end of the log gives
-    /// `storage_failed`.
+    /// incarnation. `storage_failed` if a file operation fails, which may be tried again,
+    /// or if a file is damaged otherwise than by an incomplete record at the end of the
+    /// log.
     result<recovered_log> open(keeper_incarnation new_incarnation);
     result<void> append(const log_batch& batch);
     /// Writes \p snapshot and replaces the log by \p entries, which follow it.
     result<void> save_snapshot(const log_snapshot& snapshot,
                                const std::vector<log_entry>& entries);
-    /// Whether any file operation failed or a file was damaged.
-    bool failed() const noexcept { return failed_; }
+    /// Whether open() found a damaged file. Nothing is written then.
+    bool is_damaged() const noexcept { return is_damaged_; }
 
 private:
+    enum class unfinished_write
+    {
+        none,
+        append,
+        snapshot
+    };
+
     result<std::optional<std::string>> read_file(const std::string& name);
     result<std::string> read_record_file(const std::string& name, bool& exists);
     result<void> replace_file(const std::string& name, std::string_view bytes);
     result<void> write_all(int file, std::string_view bytes);
+    result<void> remove_unfinished_append();
+    result<void> replace_snapshot_and_log(const log_snapshot& snapshot,
+                                          const std::vector<log_entry>& entries);
     result<keeper_incarnation>
     load_or_create_identity(keeper_incarnation new_incarnation);
     result<std::optional<log_snapshot>> read_snapshot();
     result<void> read_log(recovered_log& recovered);
     result<void> open_log_file(std::uint64_t size, bool truncate_tail);
-    /// Prevents all further writes and returns the error.
-    error mark_failed(const std::string& problem);
+    error file_error(const std::string& problem) const;
+    /// Prevents all writes and returns the error.
+    error mark_damaged(const std::string& problem);
     std::string path(const std::string& name) const { return folder_ + "/" + name; }
 
     file_calls& files_;
     std::string folder_;
     int log_file_ = -1;
+    /// Length of the log file that is durable.
+    std::uint64_t log_size_ = 0;
     hard_state last_hard_state_;
-    bool failed_ = false;
+    unfinished_write unfinished_ = unfinished_write::none;
+    bool is_damaged_ = false;
 };
 
 } // namespace papayabridge
--- a/src/papayakeeper/keeper_service.cpp
+++ b/src/papayakeeper/keeper_service.cpp
@@ -132,8 +132,12 @@
 
 net::awaitable<result<rpc_message>> keeper_service::genesis(rpc_message)
 {
+    auto report = replicated_.genesis();
+    if (!report) {
+        co_return report.error();
+    }
     rpc_message answer;
-    answer.body = to_value(replicated_.genesis());
+    answer.body = to_value(report.value());
     co_return answer;
 }
 
--- a/src/papayakeeper/keeper_service_test.cpp
+++ b/src/papayakeeper/keeper_service_test.cpp
@@ -65,4 +65,54 @@
     EXPECT_FALSE(status.alarms.empty());
 }
 
+// Of three keepers one loss is borne. A full disk that has room again is no loss.
+TEST_F(keeper_group_test, a_keeper_whose_disk_was_full_for_a_while_replaces_a_lost_one)
+{
+    start();
+    ASSERT_TRUE(propose_configuration(leader(), 0));
+    auto& full = *followers().front();
+    auto& lost = *followers().back();
+    full.files.set(troubled_files::state::full);
+    for (std::uint64_t base = 1; base < 4; ++base) {
+        ASSERT_TRUE(propose_configuration(leader(), base));
+    }
+    run_until([&] { return full.keeper.status().storage != "ok"; });
+    EXPECT_FALSE(watch(full).value().is_current);
+    EXPECT_LT(version_at(full), config_version(4));
+
+    full.files.set(troubled_files::state::good);
+    run_until([&] { return version_at(full) == config_version(4); });
+    EXPECT_TRUE(watch(full).value().is_current);
+    lost.files.set(troubled_files::state::stalled);
+    EXPECT_TRUE(propose_configuration(leader(), 4));
+    run_until([&] { return version_at(full) == config_version(5); });
+}
+
+// While its disk is full, a keeper passes changes on, so that its callers are served.
+TEST_F(keeper_group_test, a_keeper_with_a_full_disk_passes_changes_on_to_the_leader)
+{
+    start();
+    auto& full = *followers().front();
+    full.files.set(troubled_files::state::full);
+    for (std::uint64_t base = 0; base < 3; ++base) {
+        EXPECT_TRUE(propose_configuration(full, base));
+    }
+    EXPECT_EQ(version_at(leader()), config_version(3));
+    EXPECT_EQ(version_at(full), config_version(0));
+}
+
+TEST_F(keeper_group_test, a_leader_whose_disk_is_full_is_replaced_and_follows_later)
+{
+    start();
+    ASSERT_TRUE(propose_configuration(leader(), 0));
+    auto& full = leader();
+    full.files.set(troubled_files::state::full);
+    auto& other = *followers().front();
+    ASSERT_TRUE(propose_configuration(other, 1));
+    EXPECT_FALSE(full.keeper.duties().is_leading());
+    full.files.set(troubled_files::state::good);
+    run_until([&] { return version_at(full) == config_version(2); });
+    EXPECT_TRUE(watch(full).value().is_current);
+}
+
 } // namespace papayabridge
--- a/src/papayakeeper/replicator.cpp
+++ b/src/papayakeeper/replicator.cpp
@@ -1,7 +1,5 @@
 #include "replicator.hpp"
 
-#include "storage_worker.hpp"
-
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -16,6 +14,9 @@
 
 constexpr std::chrono::milliseconds tick_interval{20};
 constexpr std::chrono::milliseconds handover_timeout{600};
+constexpr std::chrono::milliseconds storage_retry_interval{200};
+// Messages are dropped, as if lost, while more than this waits for a write.
+constexpr std::size_t max_pending_output = 512;
 // A state that was complete within this time counts as current. Much longer than the
 // heartbeats and writes of a healthy group take.
 constexpr std::chrono::milliseconds max_state_age{800};
@@ -48,30 +49,54 @@
 
 void replicator::open()
 {
-    auto opened = log_.open(keeper_incarnation(random_number()));
+    finish_open(log_.open(keeper_incarnation(random_number())));
+}
+
+void replicator::finish_open(result<recovered_log> opened)
+{
     if (!opened) {
+        storage_damaged_ = log_.is_damaged();
         fail_storage(opened.error());
         return;
     }
+    opened_ = true;
     incarnation_ = opened.value().incarnation;
     if (opened.value().tail_truncated) {
         log_line(log_event::log_tail_cut, {{"folder", settings_.data}});
     }
     recovered_ = std::move(opened.value().state);
+    recover_storage();
 }
 
 void replicator::start()
 {
-    if (storage_failure_) {
+    if (storage_damaged_) {
         return;
     }
-    if (recovered_) {
+    if (!opened_) {
+        net::co_spawn(control_, reopen(), net::detached);
+    } else if (recovered_) {
         start_consensus(std::move(*recovered_));
     } else {
         net::co_spawn(control_, await_genesis(), net::detached);
     }
 }
 
+net::awaitable<void> replicator::reopen()
+{
+    while (!opened_ && !storage_damaged_) {
+        co_await sleep_for(storage_retry_interval);
+        std::optional<result<recovered_log>> opened;
+        storage_task task = [this, &opened]() -> result<void> {
+            opened.emplace(log_.open(keeper_incarnation(random_number())));
+            return success();
+        };
+        static_cast<void>(co_await run_on_storage(storage_, std::move(task)));
+        finish_open(std::move(*opened));
+    }
+    start();
+}
+
 void replicator::start_consensus(recovered_state recovered)
 {
     initial_voters_ = recovered.snapshot.voters;
@@ -79,6 +104,7 @@
     snapshot_index_ = recovered.snapshot.index;
     auto installed = install(recovered.snapshot);
     if (!installed) {
+        storage_damaged_ = true;
         fail_storage(installed.error());
         return;
     }
@@ -111,12 +137,17 @@
 
 net::awaitable<void> replicator::run_clock()
 {
-    while (!storage_failure_) {
-        consensus_->tick(steady_clock::now());
+    while (!storage_damaged_) {
+        // Without durable writes there is no vote and no term to stand with.
+        if (!storage_failure_) {
+            consensus_->tick(steady_clock::now());
+        }
         update_role();
         record_commit_notice();
         update_currency();
-        propose_due_commands();
+        if (!storage_failure_) {
+            propose_due_commands();
+        }
         wake_output_loop();
         co_await sleep_for(tick_interval);
     }
@@ -130,7 +161,7 @@
 
 net::awaitable<void> replicator::run_output_loop()
 {
-    while (!storage_failure_) {
+    while (!storage_damaged_) {
         if (!output_pending_) {
             output_timer_.expires_at(time_point::max());
             co_await output_timer_.async_wait(net::as_tuple(net::use_awaitable));
@@ -138,15 +169,12 @@
         output_pending_ = false;
         auto output = consensus_->take_output();
         send(output.messages);
-        auto written = co_await write_output(output);
-        if (!written) {
-            fail_storage(written.error());
-            co_return;
-        }
+        co_await write_output(output);
         send(output.messages_after_sync);
         if (output.install) {
             auto installed = install(*output.install);
             if (!installed) {
+                storage_damaged_ = true;
                 fail_storage(installed.error());
                 co_return;
             }
@@ -156,42 +184,36 @@
         }
         freshness_.record_applied(applied_.applied());
         send_snapshots(output.snapshot_receivers);
-        auto saved = co_await save_snapshot();
-        if (!saved) {
-            fail_storage(saved.error());
-        }
+        co_await save_snapshot();
     }
 }
 
-net::awaitable<result<void>> replicator::write_output(const consensus_output& output)
+net::awaitable<void> replicator::write_output(const consensus_output& output)
 {
     if (!output.has_writes()) {
-        co_return success();
+        co_return;
     }
-    storage_task task = [this, &output]() -> result<void> {
-        if (output.install) {
+    bool installed = !output.install;
+    storage_task task = [this, &output, &installed]() -> result<void> {
+        if (!installed) {
             auto saved = log_.save_snapshot(*output.install, {});
             if (!saved) {
                 return saved;
             }
+            installed = true;
         }
         return log_.append({.hard = output.hard, .entries = output.entries});
     };
-    write_started_at_ = steady_clock::now();
-    auto written = co_await run_on_storage(storage_, std::move(task));
-    write_started_at_.reset();
-    if (written) {
-        consensus_->mark_synced();
-        output_pending_ = true;
-    }
-    co_return written;
+    co_await write_until_durable(std::move(task));
+    consensus_->mark_synced();
+    output_pending_ = true;
 }
 
-net::awaitable<result<void>> replicator::save_snapshot()
+net::awaitable<void> replicator::save_snapshot()
 {
     auto entries_since = applied_.applied().value() - snapshot_index_.value();
     if (entries_since < settings_.snapshot_interval) {
-        co_return success();
+        co_return;
     }
     auto snapshot = consensus_->make_snapshot(to_json(applied_.state().snapshot()));
     auto entries_after =
@@ -199,15 +221,25 @@
     storage_task task = [this, &snapshot, &entries_after] {
         return log_.save_snapshot(snapshot, entries_after);
     };
+    co_await write_until_durable(std::move(task));
+    snapshot_index_ = snapshot.index;
+    auto keep = std::min(max_kept_entries, snapshot.index.value());
+    consensus_->compact(control_index(snapshot.index.value() - keep));
+}
+
+// An output is taken only once, so its write is repeated until it is durable. Meanwhile
+// nothing is sent, and the others act without this keeper.
+net::awaitable<void> replicator::write_until_durable(storage_task task)
+{
     write_started_at_ = steady_clock::now();
-    auto saved = co_await run_on_storage(storage_, std::move(task));
-    write_started_at_.reset();
-    if (saved) {
-        snapshot_index_ = snapshot.index;
-        auto keep = std::min(max_kept_entries, snapshot.index.value());
-        consensus_->compact(control_index(snapshot.index.value() - keep));
+    auto written = co_await run_on_storage(storage_, task);
+    while (!written) {
+        fail_storage(written.error());
+        co_await sleep_for(storage_retry_interval);
+        written = co_await run_on_storage(storage_, task);
     }
-    co_return saved;
+    write_started_at_.reset();
+    recover_storage();
 }
 
 void replicator::send(const std::vector<consensus_message>& messages)
@@ -282,7 +314,9 @@
 void replicator::receive(const rpc_message& request)
 {
     auto received = network_.receive(request);
-    if (!received || !consensus_ || storage_failure_) {
+    if (!received || !consensus_ || storage_damaged_ ||
+        consensus_->pending_output() > max_pending_output)
+    {
         return;
     }
     auto now = steady_clock::now();
@@ -328,14 +362,32 @@
 
 void replicator::fail_storage(const error& failure)
 {
+    bool is_news = !storage_failure_;
     storage_failure_ = failure;
-    duties_.stop_leading();
+    if (!is_news) {
+        return;
+    }
+    storage_failed_at_ = steady_clock::now();
     events_.record({.kind = event_kind::storage_failed, .detail = failure.detail});
     log_line(log_event::storage_failed, {{"detail", failure.detail}});
+    if (consensus_) {
+        consensus_->resign();
+        update_role();
+    }
     proposals_.wake_all();
     applied_.wake_watchers();
 }
 
+void replicator::recover_storage()
+{
+    if (!storage_failure_) {
+        return;
+    }
+    storage_failure_.reset();
+    log_line(log_event::storage_recovered,
+             {{"after_us", log_us(steady_clock::now() - storage_failed_at_)}});
+}
+
 bool replicator::leader_known() const
 {
     return consensus_ && !storage_failure_ && !stopping_ &&
--- a/src/papayakeeper/replicator.hpp
+++ b/src/papayakeeper/replicator.hpp
@@ -11,6 +11,7 @@
 #include "keeper_settings.hpp"
 #include "peer_network.hpp"
 #include "proposals.hpp"
+#include "storage_worker.hpp"
 #include "store/keeper_log.hpp"
 
 #include <papayabridge/events.hpp>
@@ -29,6 +30,7 @@
 
     /// Reads the files; blocks. A keeper with damaged files does not join the group.
     void open();
+    /// Joins the group; tries to read the files again if that failed.
     void start();
     /// Transfers leadership if this keeper leads, and waits a short time for pending
     /// proposals.
@@ -47,10 +49,12 @@
     net::awaitable<void> notify_leader(std::string method, rpc_message request);
     /// Replaces the addresses at which keepers may be found.
     void set_seeds(std::vector<tcp::endpoint> seeds) { seeds_ = std::move(seeds); }
-    genesis_report genesis() const;
+    /// `storage_failed` before the files are read: a keeper without an identity cannot
+    /// become a voter.
+    result<genesis_report> genesis() const;
 
     /// Whether this keeper leads or is in contact with a leader. False while it stops and
-    /// after a storage failure.
+    /// while its storage fails.
     bool leader_known() const;
     /// Whether the applied state holds all that was committed a short time ago. False
     /// without a leader, and while the storage or the network keeps the state behind.
@@ -63,6 +67,8 @@
     leader_duties& duties() noexcept { return duties_; }
 
 private:
+    void finish_open(result<recovered_log> opened);
+    net::awaitable<void> reopen();
     net::awaitable<void> await_genesis();
     net::awaitable<bool> try_genesis();
     net::awaitable<void> keep_registered();
@@ -77,8 +83,9 @@
     void start_consensus(recovered_state recovered);
     net::awaitable<void> run_clock();
     net::awaitable<void> run_output_loop();
-    net::awaitable<result<void>> write_output(const consensus_output& output);
-    net::awaitable<result<void>> save_snapshot();
+    net::awaitable<void> write_output(const consensus_output& output);
+    net::awaitable<void> save_snapshot();
+    net::awaitable<void> write_until_durable(storage_task task);
     net::awaitable<void> sleep_for(std::chrono::milliseconds time);
     void send(const std::vector<consensus_message>& messages);
     void send_snapshots(const std::vector<keeper_id>& receivers);
@@ -89,6 +96,7 @@
     void record_commit_notice();
     void update_currency();
     void fail_storage(const error& failure);
+    void recover_storage();
     void wake_output_loop();
     net::awaitable<result<proposal_outcome>> propose_locally(const std::string& text,
                                                              time_point deadline);
@@ -113,7 +121,12 @@
     net::steady_timer output_timer_;
     bool output_pending_ = false;
     control_index snapshot_index_;
+    // The last attempt to write or read failed.
     std::optional<error> storage_failure_;
+    time_point storage_failed_at_;
+    // The files cannot be used whatever the disk does.
+    bool storage_damaged_ = false;
+    bool opened_ = false;
     std::optional<time_point> write_started_at_;
     applied_freshness freshness_;
     bool was_current_ = false;
--- a/src/papayakeeper/replicator_genesis.cpp
+++ b/src/papayakeeper/replicator_genesis.cpp
@@ -1,7 +1,6 @@
 // Agreement on the initial voters, and discovery of other keepers.
 
 #include "replicator.hpp"
-#include "storage_worker.hpp"
 
 #include <algorithm>
 #include <boost/asio/use_awaitable.hpp>
@@ -19,12 +18,15 @@
 
 } // namespace
 
-genesis_report replicator::genesis() const
+result<genesis_report> replicator::genesis() const
 {
-    return {.id = settings_.id,
-            .incarnation = incarnation_,
-            .voters = initial_voters_,
-            .endpoints = network_.endpoints()};
+    if (!opened_) {
+        return fail(error_kind::storage_failed, "the files are not read yet");
+    }
+    return genesis_report{.id = settings_.id,
+                          .incarnation = incarnation_,
+                          .voters = initial_voters_,
+                          .endpoints = network_.endpoints()};
 }
 
 std::vector<tcp::endpoint> replicator::discovery_endpoints() const
@@ -164,7 +166,7 @@
 
 net::awaitable<void> replicator::keep_registered()
 {
-    while (!stopping_ && !storage_failure_) {
+    while (!stopping_ && !storage_damaged_) {
         const auto& keepers = applied_.state().pool().keepers();
         auto found = keepers.find(settings_.id);
         bool registered =
@@ -184,11 +186,7 @@
     storage_task task = [this, &initial_state] {
         return log_.save_snapshot(initial_state.snapshot, {});
     };
-    auto saved = co_await run_on_storage(storage_, std::move(task));
-    if (!saved) {
-        fail_storage(saved.error());
-        co_return;
-    }
+    co_await write_until_durable(std::move(task));
     auto found = initial_state.snapshot.voters.find(settings_.id);
     bool votes =
         found != initial_state.snapshot.voters.end() && found->second == incarnation_;
--- a/src/papayakeeper/replicator_propose.cpp
+++ b/src/papayakeeper/replicator_propose.cpp
@@ -20,7 +20,7 @@
     bool may_be_accepted = false;
     auto failure = fail(error_kind::no_quorum, "no leader is known");
     while (steady_clock::now() < deadline) {
-        if (storage_failure_) {
+        if (storage_damaged_) {
             failure = *storage_failure_;
             break;
         }
@@ -40,6 +40,8 @@
                 co_return accepted;
             }
             failure = accepted.error();
+        } else if (storage_failure_) {
+            failure = *storage_failure_;
         }
         may_be_accepted = may_be_accepted || failure.kind == error_kind::outcome_unknown;
         co_await sleep_for(leader_poll_interval);
@@ -53,6 +55,10 @@
 // The barrier's log entry follows all entries accepted before the call.
 net::awaitable<result<void>> replicator::wait_for_read_barrier(time_point deadline)
 {
+    if (storage_failure_) {
+        // What is committed now cannot be applied here.
+        co_return *storage_failure_;
+    }
     command barrier = read_barrier{};
     auto accepted = co_await propose(std::move(barrier), deadline, false);
     if (!accepted) {
--- a/src/papayakeeper/replicator_status.cpp
+++ b/src/papayakeeper/replicator_status.cpp
@@ -33,10 +33,14 @@
 std::vector<std::string> replicator::alarms() const
 {
     std::vector<std::string> alarms;
-    if (storage_failure_) {
+    if (storage_damaged_) {
         alarms.push_back(storage_failure_->str() +
                          "; this keeper stays out of the group until the storage is "
                          "repaired and it is restarted");
+    } else if (storage_failure_) {
+        alarms.push_back(storage_failure_->str() +
+                         "; this keeper stays out of the group until the storage takes "
+                         "the write, which is tried again");
     }
     if (write_started_at_ && elapsed_since(*write_started_at_) > slow_disk_alarm) {
         alarms.push_back("the disk has not finished a write for " +
