An entry's stored view is written again after a failure, off the control thread

Each store also held up the control thread for a sync.

Change: view_writer keeps the newest state, stores it on its own thread and repeats a store that failed; lines view_not_stored and view_stored_again.

Tests: a full disk that gets room again, a stalled one, the end of the writer.

--- a/src/include/papayabridge/log.hpp
+++ b/src/include/papayabridge/log.hpp
@@ -78,6 +78,8 @@
     storage_recovered,
     event_file_failed,
     event_file_recovered,
+    view_not_stored,
+    view_stored_again,
     keeper_behind,
     keeper_current,
     primary_probed,
--- a/src/libpapayabridge/core/log_events.cpp
+++ b/src/libpapayabridge/core/log_events.cpp
@@ -79,6 +79,8 @@
     log_event_row{log_event::event_file_failed, "event_file_failed", change, "detail"},
     log_event_row{log_event::event_file_recovered, "event_file_recovered", change,
                   "lines"},
+    log_event_row{log_event::view_not_stored, "view_not_stored", change, "detail"},
+    log_event_row{log_event::view_stored_again, "view_stored_again", change, "after_us"},
     log_event_row{log_event::keeper_behind, "keeper_behind", change, "applied commit"},
     log_event_row{log_event::keeper_current, "keeper_current", change,
                   "applied after_us"},
--- a/src/libpapayabridge/entry/entry_process.cpp
+++ b/src/libpapayabridge/entry/entry_process.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <functional>
 #include <papayabridge/json.hpp>
 
 namespace papayabridge {
@@ -100,6 +101,8 @@
             files_, line_file_options{.path = settings_.data_folder + "/events.jsonl"});
         events_.set_sink([this](std::string_view line) { event_file_->append(line); });
         auto stored = load_view(settings_.data_folder);
+        view_writer_ = std::make_unique<view_writer>(view_writer_options{
+            .store = std::bind_front(store_view, settings_.data_folder)});
         if (stored) {
             state_ = std::move(stored.value());
             publish();
@@ -200,12 +203,8 @@
     view_.publish(view);
     shards_->apply(view);
     driver_->start_transitions();
-    if (!settings_.data_folder.empty()) {
-        auto stored = store_view(settings_.data_folder, state_);
-        if (!stored) {
-            events_.record(
-                {.kind = event_kind::storage_failed, .detail = stored.error().detail});
-        }
+    if (view_writer_) {
+        view_writer_->set_newest(state_);
     }
     const auto* self = state_.entry(settings_.id);
     bool registered = self != nullptr && self->incarnation == incarnation_;
--- a/src/libpapayabridge/entry/entry_process.hpp
+++ b/src/libpapayabridge/entry/entry_process.hpp
@@ -6,6 +6,7 @@
 
 #include "caller_service.hpp"
 #include "store/line_file.hpp"
+#include "store/view_writer.hpp"
 #include "transition_driver.hpp"
 
 #include <papayabridge/daemon.hpp>
@@ -51,6 +52,7 @@
     event_log events_;
     posix_file_calls files_;
     std::unique_ptr<line_file> event_file_;
+    std::unique_ptr<view_writer> view_writer_;
     view_holder view_;
     control_state state_;
     rpc_clients clients_;
