The simulated group loses and regains the writing of its disks

The consensus properties now hold with disks that fail for a while, at any moment beside crashes, cuts and lost disks; tests of a leader whose disk fails and of what a keeper knows of commits.

The widening cast in applied_freshness_test that the linter refused is gone.

--- a/src/libpapayabridge/core/applied_freshness_test.cpp
+++ b/src/libpapayabridge/core/applied_freshness_test.cpp
@@ -50,7 +50,7 @@
     state.record_applied(entry(10));
     state.record_commit(entry(10), at_ms(0));
     for (int ms = 80; ms <= 9000; ms += 80) {
-        auto commit = static_cast<std::uint64_t>(11 + ms / 1000);
+        auto commit = 11 + static_cast<std::uint64_t>(ms) / 1000;
         state.record_commit(entry(commit), at_ms(ms));
         EXPECT_EQ(state.complete_as_of(), at_ms(0)) << ms;
     }
--- a/src/libpapayabridge/core/consensus_simulation_test.cpp
+++ b/src/libpapayabridge/core/consensus_simulation_test.cpp
@@ -89,7 +89,9 @@
         }
         for (auto& keeper : keepers_) {
             if (keeper.machine) {
-                keeper.machine->tick(clock_of(keeper));
+                if (!keeper.disk_failing) {
+                    keeper.machine->tick(clock_of(keeper));
+                }
                 process_output(keeper);
                 check_single_leader(keeper);
             }
@@ -104,7 +106,8 @@
         keeper.writing = keeper.machine->take_output();
         send(std::exchange(keeper.writing->messages, {}));
     }
-    if (!keeper.writing->has_writes() || random_below(100) < sync_percent) {
+    bool synced = !keeper.disk_failing && random_below(100) < sync_percent;
+    if (!keeper.writing->has_writes() || synced) {
         finish_writing(keeper);
     }
 }
@@ -260,6 +263,15 @@
     }
 }
 
+void consensus_simulation::set_disk_failing(std::size_t index, bool failing)
+{
+    auto& keeper = keepers_[index];
+    keeper.disk_failing = failing;
+    if (failing && keeper.machine) {
+        keeper.machine->resign();
+    }
+}
+
 void consensus_simulation::lose_disk(std::size_t index)
 {
     auto& keeper = keepers_[index];
@@ -332,6 +344,7 @@
     for (std::size_t i = 0; i < keepers_.size(); ++i) {
         restart(i);
         set_isolated(i, false);
+        set_disk_failing(i, false);
     }
     bool proposed = false;
     for (int round = 0; round < recovery_rounds; ++round) {
--- a/src/libpapayabridge/core/consensus_simulation_test.hpp
+++ b/src/libpapayabridge/core/consensus_simulation_test.hpp
@@ -29,6 +29,8 @@
     /// Offset of this keeper's clock from the simulation's.
     std::chrono::milliseconds clock_offset{0};
     bool isolated = false;
+    /// Writes fail and are repeated.
+    bool disk_failing = false;
 };
 
 /// The group. violation() has the first violated invariant.
@@ -47,6 +49,9 @@
     /// Restarts the keeper on an empty disk.
     void lose_disk(std::size_t index);
     void set_isolated(std::size_t index, bool isolated);
+    /// While its disk fails, a keeper resigns, stands for no election and finishes no
+    /// write.
+    void set_disk_failing(std::size_t index, bool failing);
     void step_clock(std::size_t index, std::chrono::milliseconds by);
     void compact(std::size_t index);
     void transfer(std::size_t index);
--- a/src/libpapayabridge/core/consensus_test.cpp
+++ b/src/libpapayabridge/core/consensus_test.cpp
@@ -45,6 +45,11 @@
     group.set_isolated(event.keeper, event.amount % 2 == 0);
 }
 
+void fail_disk_at(consensus_simulation& group, const incident& event)
+{
+    group.set_disk_failing(event.keeper, event.amount % 2 == 0);
+}
+
 // Only one disk may be lost at a time, while all other keepers hold the committed
 // entries: the next one only once the keeper that lost the last one is admitted again.
 void lose_disk_at(consensus_simulation& group, const incident& event)
@@ -71,14 +76,15 @@
     group.step_clock(event.keeper, milliseconds(event.amount * 100) - milliseconds(1000));
 }
 
-constexpr std::array<incident_action, 12> incident_actions{
-    propose_at, propose_at, propose_at,   propose_at, crash_at,    restart_at,
-    restart_at, isolate_at, lose_disk_at, compact_at, transfer_at, step_clock_at};
+constexpr std::array<incident_action, 13> incident_actions{
+    propose_at,  propose_at,    propose_at,  propose_at,   crash_at,
+    restart_at,  restart_at,    isolate_at,  lose_disk_at, compact_at,
+    transfer_at, step_clock_at, fail_disk_at};
 
 rc::Gen<incident> any_incident(std::size_t keepers)
 {
     return rc::gen::build<incident>(
-        rc::gen::set(&incident::action, rc::gen::inRange(0U, 12U)),
+        rc::gen::set(&incident::action, rc::gen::inRange(0U, 13U)),
         rc::gen::set(&incident::keeper, rc::gen::inRange<std::size_t>(0, keepers)),
         rc::gen::set(&incident::amount, rc::gen::inRange(0U, 20U)));
 }
@@ -157,6 +163,48 @@
     EXPECT_EQ(group.violation(), "");
 }
 
+TEST(consensus, a_leader_whose_disk_fails_is_replaced_and_follows_once_it_works)
+{
+    consensus_simulation group(3, 4);
+    auto failing = elect_leader(group);
+    group.set_disk_failing(failing, true);
+    EXPECT_EQ(group.keeper(failing).machine->role(), keeper_role::follower);
+    group.run(settle_time, 0);
+    auto leader_index = group.leader();
+    ASSERT_TRUE(leader_index);
+    EXPECT_NE(*leader_index, failing);
+    group.propose(*leader_index);
+    group.run(settle_time, 0);
+    auto committed = group.committed().size();
+    EXPECT_LT(group.keeper(failing).applied.size(), committed);
+    EXPECT_GT(group.keeper(failing).machine->pending_output(), 0U);
+    group.set_disk_failing(failing, false);
+    group.run(settle_time, 0);
+    EXPECT_EQ(group.keeper(failing).applied.size(), group.committed().size());
+    EXPECT_EQ(group.violation(), "");
+}
+
+// A leader that has not committed an entry of its term may not know the last commit of
+// its predecessor.
+TEST(consensus, a_commit_notice_is_of_the_present_leader)
+{
+    consensus_simulation group(3, 5);
+    auto leader_index = elect_leader(group);
+    group.propose(leader_index);
+    group.run(settle_time, 0);
+    for (std::size_t i = 0; i < group.size(); ++i) {
+        const auto& notice = group.keeper(i).machine->last_commit_notice();
+        ASSERT_TRUE(notice);
+        EXPECT_EQ(notice->commit, control_index(group.committed().size()));
+    }
+    auto isolated = next_index(leader_index, group.size());
+    group.set_isolated(isolated, true);
+    auto before = group.keeper(isolated).machine->last_commit_notice()->at;
+    group.run(settle_time, 0);
+    EXPECT_LT(group.keeper(isolated).machine->last_commit_notice()->at - before,
+              milliseconds(500));
+}
+
 TEST(consensus, isolated_keeper_does_not_raise_term)
 {
     consensus_simulation group(3, 3);
