A keeper with a full disk does not register itself again and again

Found in reading the change before: while its storage fails, a keeper counts no leader as known, and then proposed its own address at each of the others, which replicated it every time.

--- a/src/papayakeeper/replicator_genesis.cpp
+++ b/src/papayakeeper/replicator_genesis.cpp
@@ -171,7 +171,9 @@
         auto found = keepers.find(settings_.id);
         bool registered =
             found != keepers.end() && found->second.rpc == to_string(settings_.rpc);
-        if (!registered || !leader_known()) {
+        // While the storage fails, no leader counts as known, yet the others know this
+        // keeper's address.
+        if (!storage_failure_ && (!registered || !leader_known())) {
             co_await register_self();
         }
         co_await sleep_for(registration_check_interval);
