Being current is measured in election timeouts, not in a fixed time

Found in reading: with heartbeats rarer than 800 ms, which the settings allow, no follower would have counted as current between two of them. The test failed with the fixed time.

--- a/src/papayakeeper/keeper_group_test.hpp
+++ b/src/papayakeeper/keeper_group_test.hpp
@@ -110,7 +110,8 @@
 protected:
     static constexpr std::size_t keeper_count = 3;
 
-    keeper_group_test()
+    explicit keeper_group_test(
+        std::chrono::milliseconds heartbeat = std::chrono::milliseconds(80))
     {
         std::string name = ::testing::TempDir() + "keeper_group_XXXXXX";
         folder_ = ::mkdtemp(name.data());
@@ -132,6 +133,8 @@
             settings.peers = peers;
             settings.links = std::make_shared<link_table>();
             settings.snapshot_interval = 10;
+            settings.heartbeat = heartbeat;
+            settings.election_timeout = 5 * heartbeat;
             keepers[i] = std::make_unique<group_keeper>(context, std::move(settings));
         }
     }
--- a/src/papayakeeper/keeper_service_test.cpp
+++ b/src/papayakeeper/keeper_service_test.cpp
@@ -2,6 +2,28 @@
 
 namespace papayabridge {
 
+namespace {
+
+// Keepers that are far from each other, with timeouts to match.
+class patient_keeper_group_test : public keeper_group_test
+{
+protected:
+    patient_keeper_group_test() : keeper_group_test(std::chrono::seconds(1)) {}
+};
+
+} // namespace
+
+TEST_F(patient_keeper_group_test, keepers_are_current_between_rare_heartbeats)
+{
+    start();
+    for (int look = 0; look < 25; ++look) {
+        run_for(std::chrono::milliseconds(100));
+        for (const auto& one : keepers) {
+            EXPECT_TRUE(one->keeper.is_current());
+        }
+    }
+}
+
 // The leader is heard all the while, so the watchers of this keeper would stay at an old
 // configuration for as long as the write takes.
 TEST_F(keeper_group_test, a_keeper_whose_write_stalls_sends_its_watchers_elsewhere)
--- a/src/papayakeeper/replicator.cpp
+++ b/src/papayakeeper/replicator.cpp
@@ -17,9 +17,9 @@
 constexpr std::chrono::milliseconds storage_retry_interval{200};
 // Messages are dropped, as if lost, while more than this waits for a write.
 constexpr std::size_t max_pending_output = 512;
-// A state that was complete within this time counts as current. Much longer than the
-// heartbeats and writes of a healthy group take.
-constexpr std::chrono::milliseconds max_state_age{800};
+// A state that was complete within this many election timeouts counts as current. Much
+// longer than the heartbeats and writes of a healthy group take.
+constexpr int max_state_age_timeouts = 2;
 // Entries before a snapshot that stay in memory for followers slightly behind it.
 constexpr std::uint64_t max_kept_entries = 100;
 
@@ -407,7 +407,8 @@
 bool replicator::is_current() const
 {
     auto age = state_age();
-    return leader_known() && age && *age < max_state_age;
+    return leader_known() && age &&
+           *age < max_state_age_timeouts * settings_.election_timeout;
 }
 
 void replicator::record_commit_notice()
