Tests hold the addresses at which nobody listens yet

Cause: the test took a free port, closed it, and the next server that asked for a free port was given the same one. "Nobody" then answered the first watch, and the nearest keeper could not listen.

Change: reserved_endpoint binds the address and keeps it while the test runs; servers can still listen there. Used by both fixtures that took free ports. No check changed.

--- a/src/libpapayabridge/net/keeper_client_test.cpp
+++ b/src/libpapayabridge/net/keeper_client_test.cpp
@@ -1,3 +1,4 @@
+#include "net/reserved_endpoint.hpp"
 #include "net/run_awaitable.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -60,14 +61,6 @@
 class keeper_client_test : public testing::Test
 {
 protected:
-    // An address where nobody listens.
-    tcp::endpoint free_place()
-    {
-        tcp::acceptor acceptor(context,
-                               tcp::endpoint(net::ip::make_address("127.0.0.1"), 0));
-        return acceptor.local_endpoint();
-    }
-
     // The index that the keeper asked holds; nothing if it gave no answer.
     std::optional<std::uint64_t> watch(keeper_client& client)
     {
@@ -77,6 +70,8 @@
     }
 
     net::io_context context;
+    // The address of a keeper that does not run at first.
+    reserved_endpoint near_place{context};
     std::shared_ptr<rpc_clients> clients = std::make_shared<rpc_clients>(
         context.get_executor(), std::make_shared<link_table>(), fleet_key);
 };
@@ -86,8 +81,8 @@
 TEST_F(keeper_client_test, a_nearest_keeper_that_is_gone_for_good_costs_one_call)
 {
     small_keeper far(context, {net::ip::make_address("127.0.0.1"), 0}, 7);
-    keeper_client client(context.get_executor(), clients, {free_place(), far.place()},
-                         1ms);
+    keeper_client client(context.get_executor(), clients,
+                         {near_place.endpoint(), far.place()}, 1ms);
     EXPECT_FALSE(watch(client));
     for (int call = 0; call < 20; ++call) {
         EXPECT_EQ(watch(client), 7u);
@@ -97,10 +92,10 @@
 TEST_F(keeper_client_test, the_nearest_keeper_is_used_again_once_it_answers)
 {
     small_keeper far(context, {net::ip::make_address("127.0.0.1"), 0}, 7);
-    auto place = free_place();
-    keeper_client client(context.get_executor(), clients, {place, far.place()}, 1ms);
+    keeper_client client(context.get_executor(), clients,
+                         {near_place.endpoint(), far.place()}, 1ms);
     EXPECT_FALSE(watch(client));
-    small_keeper near(context, place, 8);
+    small_keeper near(context, near_place.endpoint(), 8);
     auto until = steady_clock::now() + 20s;
     while (watch(client) != 8u && steady_clock::now() < until) {
     }
@@ -111,17 +106,17 @@
 // again.
 TEST_F(keeper_client_test, a_lost_keeper_is_not_asked_again_after_the_nearest_came_back)
 {
-    auto near_place = free_place();
     small_keeper far(context, {net::ip::make_address("127.0.0.1"), 0}, 7);
-    keeper_client client(context.get_executor(), clients, {near_place, far.place()}, 1ms);
+    keeper_client client(context.get_executor(), clients,
+                         {near_place.endpoint(), far.place()}, 1ms);
     EXPECT_FALSE(watch(client));
     EXPECT_EQ(client.current_keeper(), far.place());
     far.become_silent();
-    small_keeper near(context, near_place, 8);
+    small_keeper near(context, near_place.endpoint(), 8);
     std::this_thread::sleep_for(2ms);
     // Probes the nearest at its start, and gets no answer from the other.
     EXPECT_FALSE(watch(client));
-    EXPECT_EQ(client.current_keeper(), near_place);
+    EXPECT_EQ(client.current_keeper(), near_place.endpoint());
     EXPECT_EQ(watch(client), 8u);
 }
 
--- a/src/papayakeeper/keeper_group_test.hpp
+++ b/src/papayakeeper/keeper_group_test.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "keeper_service.hpp"
+#include "net/reserved_endpoint.hpp"
 #include "net/run_awaitable.hpp"
 
 #include <array>
@@ -117,10 +118,9 @@
         folder_ = ::mkdtemp(name.data());
         std::vector<keeper_address> peers;
         for (std::size_t i = 0; i < keeper_count; ++i) {
-            tcp::acceptor free_port(context,
-                                    tcp::endpoint(net::ip::make_address("127.0.0.1"), 0));
+            places_.emplace_back(context);
             peers.push_back({.id = keeper_id("k" + std::to_string(i + 1)),
-                             .rpc = free_port.local_endpoint()});
+                             .rpc = places_.back().endpoint()});
         }
         for (std::size_t i = 0; i < keeper_count; ++i) {
             auto data = folder_ + "/" + peers[i].id.str();
@@ -221,6 +221,7 @@
 
 private:
     std::string folder_;
+    std::vector<reserved_endpoint> places_;
     std::shared_ptr<rpc_clients> clients_ = std::make_shared<rpc_clients>(
         context.get_executor(), std::make_shared<link_table>(), token_codec("k"));
 };
