--- a/src/libpapayabridge/net/reserved_endpoint.hpp
+++ b/src/libpapayabridge/net/reserved_endpoint.hpp
@@ -1,5 +1,5 @@
 /// \file reserved_endpoint.hpp
-/// For tests: an address of the loopback network where nobody listens until the test does.
+/// For tests: a loopback address where nobody listens until the test does.
 
 #pragma once
 
