--- a/src/include/papayabridge/log.hpp
+++ b/src/include/papayabridge/log.hpp
@@ -64,6 +64,7 @@
     keepers_reached,
     keepers_lost,
     keeper_followed,
+    connection_silent,
     registration_failed,
     gate_avoided,
     gate_message_refused,
--- a/src/libpapayabridge/core/log_events.cpp
+++ b/src/libpapayabridge/core/log_events.cpp
@@ -61,6 +61,8 @@
     log_event_row{log_event::keepers_lost, "keepers_lost", change, "applied detail"},
     log_event_row{log_event::keeper_followed, "keeper_followed", change,
                   "keeper applied"},
+    log_event_row{log_event::connection_silent, "connection_silent", change,
+                  "at since_us"},
     log_event_row{log_event::registration_failed, "registration_failed", change,
                   "detail"},
     log_event_row{log_event::gate_avoided, "gate_avoided", change, "gate detail"},
--- a/src/libpapayabridge/rpc/rpc_client.cpp
+++ b/src/libpapayabridge/rpc/rpc_client.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <papayabridge/json.hpp>
+#include <papayabridge/log.hpp>
 #include <papayabridge/rpc.hpp>
 
 namespace papayabridge {
@@ -256,6 +257,9 @@
     if (!call->response && is_unresponsive(*connection)) {
         // The peer may be down without having closed the connection. The next call
         // connects again.
+        auto at = to_string(client->remote);
+        auto since = steady_clock::now() - *connection->silent_since;
+        log_line(log_event::connection_silent, {{"at", at}, {"since_us", log_us(since)}});
         close_connection(*connection);
     }
     if (!call->response) {
