An entry no longer waits on connections that went silent without being closed

Cause: a call ends only at its deadline, and a connection was given up only if a call on it failed after more than 3 s of silence. A watch fails after 1.7 s. So an entry asked each keeper once, then each a second time, before it connected anew.

Ruled out: the keepers (they answer on new connections), a lost keeper (a connect that nobody answers ends after 250 ms).

Change: a connection on which nothing was received for 1.2 s takes no new calls. Calls that wait on it go on waiting, so that a slow keeper's answer still counts. A connection that is used rarely is opened anew each time.

Tests: three that failed before; one that calls in quick succession share a connection.

--- a/src/libpapayabridge/net/keeper_client_test.cpp
+++ b/src/libpapayabridge/net/keeper_client_test.cpp
@@ -1,3 +1,4 @@
+#include "net/relay.hpp"
 #include "net/reserved_endpoint.hpp"
 #include "net/run_awaitable.hpp"
 
@@ -62,10 +63,11 @@
 {
 protected:
     // The index that the keeper asked holds; nothing if it gave no answer.
-    std::optional<std::uint64_t> watch(keeper_client& client)
+    std::optional<std::uint64_t> watch(keeper_client& client,
+                                       std::chrono::milliseconds wait = 10ms)
     {
         auto update = run_awaitable(
-            context, client.watch(control_index(), 10ms, {.id = entry_id("e")}, false));
+            context, client.watch(control_index(), wait, {.id = entry_id("e")}, false));
         return update ? std::optional(update.value().applied.value()) : std::nullopt;
     }
 
@@ -120,4 +122,33 @@
     EXPECT_EQ(watch(client), 8u);
 }
 
+// A configuration has to be in force three seconds after its confirmation.
+TEST_F(keeper_client_test, changes_arrive_in_time_after_all_open_connections_went_silent)
+{
+    std::vector<std::unique_ptr<small_keeper>> keepers;
+    std::vector<std::unique_ptr<relay>> relays;
+    std::vector<tcp::endpoint> places;
+    for (std::uint64_t applied : {7, 7, 7}) {
+        keepers.push_back(std::make_unique<small_keeper>(
+            context, tcp::endpoint(net::ip::make_address("127.0.0.1"), 0), applied));
+        relays.push_back(std::make_unique<relay>(context, keepers.back()->place()));
+        places.push_back(relays.back()->endpoint());
+    }
+    keeper_client client(context.get_executor(), clients, places);
+    for (const auto& place : places) {
+        ASSERT_TRUE(run_awaitable(context, client.status(place)));
+    }
+    ASSERT_EQ(watch(client, 1s), 7u);
+    for (auto& one : relays) {
+        one->silence_open_connections();
+    }
+    auto silent_at = steady_clock::now();
+    std::optional<std::uint64_t> heard;
+    while (!heard && steady_clock::now() < silent_at + 20s) {
+        heard = watch(client, 1s);
+    }
+    EXPECT_EQ(heard, 7u);
+    EXPECT_LT(steady_clock::now() - silent_at, 3s);
+}
+
 } // namespace papayabridge
--- a/src/libpapayabridge/rpc/rpc_client.cpp
+++ b/src/libpapayabridge/rpc/rpc_client.cpp
@@ -19,9 +19,10 @@
 // Covers several round trips between regions. A peer that has lost power does not refuse
 // the connection, and TCP repeats a lost SYN only after a second.
 constexpr std::chrono::milliseconds connect_timeout{250};
-// A call that ends without a response closes the connection if nothing was received on it
-// for this long.
-constexpr std::chrono::milliseconds max_silence{3000};
+// A connection on which nothing was received for this long takes no new calls: it may
+// have gone silent without being closed. Longer than a watch waits for news, so that
+// watching a keeper keeps one connection.
+constexpr std::chrono::milliseconds max_silence{1200};
 
 // A call that waits for its response.
 struct pending_call
@@ -45,9 +46,13 @@
     tcp::socket socket;
     frame_writer writer;
     std::map<std::uint64_t, std::shared_ptr<pending_call>> pending;
-    /// Sending time of the first call since the last response; empty if there is none.
-    std::optional<time_point> silent_since;
+    /// Time of the last response, or of the connect.
+    time_point last_received = steady_clock::now();
     bool broken = false;
+    /// No new call uses it; it closes when its last call ends.
+    bool retired = false;
+    /// A call ended without a response after the last one received.
+    bool owes_response = false;
 };
 
 // Parses an error message of the form "kind: detail".
@@ -73,10 +78,16 @@
     connection.pending.clear();
 }
 
-bool is_unresponsive(const open_connection& connection)
+bool is_silent(const open_connection& connection)
 {
-    return connection.silent_since &&
-           steady_clock::now() - *connection.silent_since > max_silence;
+    return steady_clock::now() - connection.last_received > max_silence;
+}
+
+void close_if_unused(open_connection& connection)
+{
+    if (connection.retired && connection.pending.empty()) {
+        close_connection(connection);
+    }
 }
 
 net::awaitable<void> read_responses(std::shared_ptr<open_connection> connection)
@@ -86,7 +97,8 @@
         if (!response) {
             break;
         }
-        connection->silent_since.reset();
+        connection->last_received = steady_clock::now();
+        connection->owes_response = false;
         auto found = connection->pending.find(response.value().id);
         if (found == connection->pending.end()) {
             // The call has already ended at its deadline.
@@ -159,12 +171,28 @@
     }
 }
 
+// Calls that wait on the connection may still be answered: the peer may only be slow.
+void retire_connection(rpc_client::state& client)
+{
+    auto connection = std::exchange(client.connection, nullptr);
+    if (connection->owes_response || !connection->pending.empty()) {
+        auto at = to_string(client.remote);
+        auto since = steady_clock::now() - connection->last_received;
+        log_line(log_event::connection_silent, {{"at", at}, {"since_us", log_us(since)}});
+    }
+    connection->retired = true;
+    close_if_unused(*connection);
+}
+
 net::awaitable<std::shared_ptr<open_connection>>
 acquire_connection(std::shared_ptr<rpc_client::state> client, time_point deadline)
 {
     if (client->connection && client->connection->broken) {
         client->connection.reset();
     }
+    if (client->connection && is_silent(*client->connection)) {
+        retire_connection(*client);
+    }
     // Connecting runs in its own coroutine, so that each call can end at its deadline.
     if (!client->connection && !client->connecting) {
         client->connecting = true;
@@ -246,22 +274,13 @@
     auto id = request.id;
     connection->pending[id] = call;
     call->done_timer.expires_at(deadline);
-    if (!connection->silent_since) {
-        connection->silent_since = steady_clock::now();
-    }
     connection->writer.send(std::move(request), connection);
     if (!call->response && !call->broken) {
         co_await call->done_timer.async_wait(use_tuple);
     }
     connection->pending.erase(id);
-    if (!call->response && is_unresponsive(*connection)) {
-        // The peer may be down without having closed the connection. The next call
-        // connects again.
-        auto at = to_string(client->remote);
-        auto since = steady_clock::now() - *connection->silent_since;
-        log_line(log_event::connection_silent, {{"at", at}, {"since_us", log_us(since)}});
-        close_connection(*connection);
-    }
+    connection->owes_response = connection->owes_response || !call->response;
+    close_if_unused(*connection);
     if (!call->response) {
         co_return fail(error_kind::outcome_unknown,
                        "no answer from " + to_string(client->remote) + " to " + method);
--- a/src/libpapayabridge/rpc/rpc_test.cpp
+++ b/src/libpapayabridge/rpc/rpc_test.cpp
@@ -1,6 +1,7 @@
 #include "rpc/frame.hpp"
 
 #include "net/raw_peer.hpp"
+#include "net/relay.hpp"
 #include "net/run_awaitable.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -107,6 +108,12 @@
     return body;
 }
 
+net::awaitable<bool> wait_for(net::steady_timer& timer)
+{
+    co_await timer.async_wait(net::use_awaitable);
+    co_return true;
+}
+
 net::awaitable<void> call_wait_method(rpc_client& client, int ms, std::vector<int>& order)
 {
     rpc_message message;
@@ -226,6 +233,49 @@
     EXPECT_TRUE(call("echo"));
 }
 
+TEST_F(rpc_test, a_connection_that_went_silent_is_not_used_for_the_next_call)
+{
+    start();
+    relay between(context_, server_->local_endpoint());
+    client_.emplace(context_.get_executor(), links_, between.endpoint(), fleet_key);
+    ASSERT_TRUE(call("echo"));
+    between.silence_open_connections();
+    auto unanswered = call("echo", Json::objectValue, {}, 1700ms);
+    ASSERT_FALSE(unanswered);
+    EXPECT_EQ(unanswered.error().kind, error_kind::outcome_unknown);
+    EXPECT_TRUE(call("echo", Json::objectValue, {}, 1s));
+    EXPECT_EQ(between.accepted(), 2U);
+}
+
+// A keeper may take long over one call; others must not end it.
+TEST_F(rpc_test, a_call_that_waits_on_a_silent_connection_is_still_answered)
+{
+    start();
+    relay between(context_, server_->local_endpoint());
+    client_.emplace(context_.get_executor(), links_, between.endpoint(), fleet_key);
+    ASSERT_TRUE(call("echo"));
+    std::vector<int> order;
+    net::co_spawn(context_, call_wait_method(*client_, 2500, order), net::detached);
+    net::steady_timer timer(context_, 2s);
+    run_awaitable(context_, wait_for(timer));
+    EXPECT_TRUE(call("echo", Json::objectValue, {}, 1s));
+    EXPECT_EQ(between.accepted(), 2U);
+    while (order.empty() && context_.run_one() > 0) {
+    }
+    EXPECT_EQ(order, std::vector<int>{2500});
+}
+
+TEST_F(rpc_test, calls_in_quick_succession_share_a_connection)
+{
+    start();
+    relay between(context_, server_->local_endpoint());
+    client_.emplace(context_.get_executor(), links_, between.endpoint(), fleet_key);
+    for (int ms : {0, 300, 1000, 0}) {
+        EXPECT_TRUE(call("wait", wait_body(ms)));
+    }
+    EXPECT_EQ(between.accepted(), 1U);
+}
+
 TEST_F(rpc_test, stopping_the_server_leaves_the_outcome_of_pending_calls_unknown)
 {
     start();
