A keeper group is led again soon after its open connections went silent

The bound of the test is 4 s, after which a core counts as stable again; it is a guard and did not fail reliably before. The fixture's keepers now listen behind relays.

--- a/src/libpapayabridge/net/relay.hpp
+++ b/src/libpapayabridge/net/relay.hpp
@@ -78,8 +78,7 @@
     };
     using channel_list = std::shared_ptr<std::vector<std::shared_ptr<channel>>>;
 
-    static constexpr auto use_tuple =
-        boost::asio::as_tuple(boost::asio::use_awaitable);
+    static constexpr auto use_tuple = boost::asio::as_tuple(boost::asio::use_awaitable);
 
     static boost::asio::awaitable<void> accept(std::shared_ptr<tcp::acceptor> acceptor,
                                                tcp::endpoint target,
--- a/src/papayakeeper/keeper_group_test.hpp
+++ b/src/papayakeeper/keeper_group_test.hpp
@@ -1,10 +1,11 @@
 /// \file keeper_group_test.hpp
-/// Test fixture: three keepers in one process that talk over loopback, each on files that
-/// can be made to fail or to stall.
+/// Test fixture: three keepers in one process that talk over loopback relays, each on
+/// files that can be made to fail or to stall.
 
 #pragma once
 
 #include "keeper_service.hpp"
+#include "net/relay.hpp"
 #include "net/reserved_endpoint.hpp"
 #include "net/run_awaitable.hpp"
 
@@ -60,17 +61,17 @@
     state state_ = state::good;
 };
 
-// One keeper with a storage thread of its own.
+// One keeper with a storage thread of its own, reached by the others through a relay.
 class group_keeper
 {
 public:
-    group_keeper(net::io_context& control, keeper_settings settings)
+    group_keeper(net::io_context& control, keeper_settings settings, tcp::endpoint listen)
         : settings_(std::move(settings)),
           clients_(std::make_shared<rpc_clients>(
               control.get_executor(), std::make_shared<link_table>(), token_codec("k"))),
           keeper(control.get_executor(), storage_.get_executor(), settings_, clients_,
                  events_, files),
-          server_(control.get_executor(), settings_.rpc, token_codec("k")),
+          server_(control.get_executor(), std::move(listen), token_codec("k")),
           service_(settings_, keeper, events_)
     {
         service_.register_methods(server_);
@@ -124,8 +125,10 @@
         std::vector<keeper_address> peers;
         for (std::size_t i = 0; i < keeper_count; ++i) {
             places_.emplace_back(context);
+            relays_.push_back(
+                std::make_unique<relay>(context, places_.back().endpoint()));
             peers.push_back({.id = keeper_id("k" + std::to_string(i + 1)),
-                             .rpc = places_.back().endpoint()});
+                             .rpc = relays_.back()->endpoint()});
         }
         for (std::size_t i = 0; i < keeper_count; ++i) {
             auto data = folder_ + "/" + peers[i].id.str();
@@ -140,7 +143,8 @@
             settings.snapshot_interval = 10;
             settings.heartbeat = heartbeat;
             settings.election_timeout = 5 * heartbeat;
-            keepers[i] = std::make_unique<group_keeper>(context, std::move(settings));
+            keepers[i] = std::make_unique<group_keeper>(context, std::move(settings),
+                                                        places_[i].endpoint());
         }
     }
     ~keeper_group_test() override
@@ -202,6 +206,13 @@
             context, client.watch(control_index(), std::chrono::milliseconds(10), {}));
     }
 
+    void silence_open_connections()
+    {
+        for (auto& one : relays_) {
+            one->silence_open_connections();
+        }
+    }
+
     static config_version version_at(group_keeper& one)
     {
         return one.keeper.applied().state().configuration().version;
@@ -229,6 +240,7 @@
 private:
     std::string folder_;
     std::vector<reserved_endpoint> places_;
+    std::vector<std::unique_ptr<relay>> relays_;
     std::shared_ptr<rpc_clients> clients_ = std::make_shared<rpc_clients>(
         context.get_executor(), std::make_shared<link_table>(), token_codec("k"));
 };
--- a/src/papayakeeper/keeper_service_test.cpp
+++ b/src/papayakeeper/keeper_service_test.cpp
@@ -139,4 +139,19 @@
     EXPECT_TRUE(watch(full).value().is_current);
 }
 
+// Four seconds after such a fault the keepers have to act within their usual times again.
+TEST_F(keeper_group_test, changes_are_accepted_soon_after_open_connections_went_silent)
+{
+    start();
+    ASSERT_TRUE(propose_configuration(leader(), 0));
+    silence_open_connections();
+    auto silent_at = steady_clock::now();
+    bool accepted = false;
+    while (!accepted && steady_clock::now() < silent_at + std::chrono::seconds(20)) {
+        accepted = bool(propose_configuration(*keepers.front(), 1));
+    }
+    EXPECT_TRUE(accepted);
+    EXPECT_LT(steady_clock::now() - silent_at, std::chrono::seconds(4));
+}
+
 } // namespace papayabridge
