--- a/src/libpapayabridge/rpc/rpc_client.cpp
+++ b/src/libpapayabridge/rpc/rpc_client.cpp
@@ -1,5 +1,6 @@
 #include "envelope.hpp"
 #include "frame.hpp"
+#include "net/tcp_options.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -154,8 +155,7 @@
     auto [ec] = co_await new_connection->socket.async_connect(client->remote, use_tuple);
     bool authenticated = false;
     if (!ec) {
-        boost::system::error_code ignored;
-        new_connection->socket.set_option(tcp::no_delay(true), ignored);
+        set_liveness_options(new_connection->socket);
         authenticated = co_await answer_challenge(new_connection->socket, client->key);
     }
     if (client->closed) {
--- a/src/libpapayabridge/rpc/rpc_server.cpp
+++ b/src/libpapayabridge/rpc/rpc_server.cpp
@@ -1,5 +1,6 @@
 #include "envelope.hpp"
 #include "frame.hpp"
+#include "net/tcp_options.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -132,8 +133,7 @@
 net::awaitable<void> serve_session(std::shared_ptr<rpc_server::state> server,
                                    std::shared_ptr<rpc_session> session)
 {
-    boost::system::error_code ignored;
-    session->socket.set_option(tcp::no_delay(true), ignored);
+    set_liveness_options(session->socket);
     if (!co_await authenticate_peer(server, session)) {
         co_return;
     }
@@ -146,6 +146,7 @@
                       handle_request(server, session, std::move(request.value())),
                       net::detached);
     }
+    boost::system::error_code ignored;
     session->socket.close(ignored);
 }
 
--- a/src/libpapayabridge/session/caller_session.cpp
+++ b/src/libpapayabridge/session/caller_session.cpp
@@ -1,5 +1,7 @@
 #include "caller_session.hpp"
 
+#include "net/tcp_options.hpp"
+
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -171,7 +173,7 @@
 
 net::awaitable<void> caller_session::serve()
 {
-    set_statement_options(socket_);
+    set_liveness_options(socket_);
     bool is_open = co_await open_session();
     while (is_open) {
         bool should_close = registry_.close_when_idle || state_.should_reconnect;
--- a/src/libpapayabridge/session/gate_link.cpp
+++ b/src/libpapayabridge/session/gate_link.cpp
@@ -1,6 +1,6 @@
 #include "gate_link.hpp"
 
-#include "member_connection.hpp"
+#include "net/tcp_options.hpp"
 #include "rpc/frame.hpp"
 
 #include <papayabridge/log.hpp>
@@ -249,7 +249,7 @@
     auto [failed] = co_await opened->socket.async_connect(link->endpoint, use_tuple);
     bool authenticated = false;
     if (!failed) {
-        set_statement_options(opened->socket);
+        set_liveness_options(opened->socket);
         authenticated = co_await answer_challenge(opened->socket, link->key);
     }
     timer.cancel();
--- a/src/libpapayabridge/session/gate_server.cpp
+++ b/src/libpapayabridge/session/gate_server.cpp
@@ -1,7 +1,7 @@
 #include "gate_server.hpp"
 
 #include "core/position_samples.hpp"
-#include "member_connection.hpp"
+#include "net/tcp_options.hpp"
 #include "rpc/frame.hpp"
 
 #include <papayabridge/log.hpp>
@@ -279,7 +279,7 @@
 net::awaitable<void> serve_peer(std::shared_ptr<gate_server::state> server,
                                 std::shared_ptr<gate_peer> peer)
 {
-    set_statement_options(peer->socket);
+    set_liveness_options(peer->socket);
     peer->timer.expires_after(handshake_timeout);
     peer->timer.async_wait(
         [weak_peer = std::weak_ptr(peer)](boost::system::error_code cancelled) {
--- a/src/libpapayabridge/session/member_connection.cpp
+++ b/src/libpapayabridge/session/member_connection.cpp
@@ -1,10 +1,10 @@
 #include "member_connection.hpp"
 
+#include "net/tcp_options.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 namespace papayabridge {
 
@@ -14,33 +14,9 @@
 constexpr std::size_t read_chunk_bytes = 4096;
 // Limits the rows of one answer; a larger answer is refused as a whole.
 constexpr std::size_t max_answer_bytes = 16 * 1024 * 1024;
-// An idle peer is probed after keepalive_idle_s and then every keepalive_interval_s until
-// it is given up.
-constexpr int keepalive_idle_s = 5;
-constexpr int keepalive_interval_s = 2;
-constexpr int keepalive_probes = 3;
-// Unacknowledged data closes the connection after this time.
-constexpr unsigned user_timeout_ms = 4000;
-
-template <class Value>
-void set_tcp_option(tcp::socket& socket, int name, Value value)
-{
-    ::setsockopt(socket.native_handle(), IPPROTO_TCP, name, &value, sizeof value);
-}
 
 } // namespace
 
-void set_statement_options(tcp::socket& socket)
-{
-    boost::system::error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
-    socket.set_option(net::socket_base::keep_alive(true), ignored);
-    set_tcp_option(socket, TCP_KEEPIDLE, keepalive_idle_s);
-    set_tcp_option(socket, TCP_KEEPINTVL, keepalive_interval_s);
-    set_tcp_option(socket, TCP_KEEPCNT, keepalive_probes);
-    set_tcp_option(socket, TCP_USER_TIMEOUT, user_timeout_ms);
-}
-
 member_connection::member_connection(net::any_io_executor executor,
                                      const member_codec& codec, member_address address)
     : socket_(executor), codec_(codec), address_(std::move(address))
@@ -65,7 +41,7 @@
                                                     to_string(endpoint) + ": " +
                                                     failed.message());
     }
-    set_statement_options(connection->socket_.socket());
+    set_liveness_options(connection->socket_.socket());
     auto started = co_await connection->start_session(deadline);
     if (!started) {
         co_return started.error();
--- a/src/libpapayabridge/session/member_connection.hpp
+++ b/src/libpapayabridge/session/member_connection.hpp
@@ -59,8 +59,4 @@
     std::size_t consumed_ = 0;
 };
 
-/// Disables Nagle's algorithm and enables keepalive and a user timeout, so that a
-/// connection to a peer that vanished ends.
-void set_statement_options(tcp::socket& socket);
-
 } // namespace papayabridge
