A keeper that registers does not send entries back to a lost one

What callers could see: entries late with a configuration, 0.3 to 1.7 s more, as a new keeper registers while the nearest is lost (replacing a keeper does just this).

Cause: each change of the list of keepers selected the nearest again.

Change: the keeper in use stays in use if it is still listed. The nearest is probed at the next watch, as ever. A test failed before; one checks that a nearer keeper that is added is used once it answers.

--- a/src/include/papayabridge/keeper_client.hpp
+++ b/src/include/papayabridge/keeper_client.hpp
@@ -111,7 +111,8 @@
     /// Reports an unusable member to all keepers, without waiting for answers.
     void report_member_trouble(const member_failure& trouble);
 
-    /// Replaces the keepers; \p keepers must be in order of distance.
+    /// Replaces the keepers; \p keepers must be in order of distance. The one in use
+    /// stays in use if it is among them, until the nearest has answered a probe.
     void set_keepers(std::vector<tcp::endpoint> keepers);
     const std::vector<tcp::endpoint>& keepers() const noexcept { return keepers_; }
     /// The keeper that the next watch() asks. Empty if none is known.
--- a/src/libpapayabridge/net/keeper_client.cpp
+++ b/src/libpapayabridge/net/keeper_client.cpp
@@ -112,9 +112,17 @@
 
 void keeper_client::set_keepers(std::vector<tcp::endpoint> keepers)
 {
-    if (keepers != keepers_) {
-        keepers_ = std::move(keepers);
-        selection_ = std::make_shared<keeper_selection>();
+    if (keepers == keepers_) {
+        return;
+    }
+    auto used = current_keeper();
+    keepers_ = std::move(keepers);
+    selection_ = std::make_shared<keeper_selection>();
+    auto found =
+        used ? std::find(keepers_.begin(), keepers_.end(), *used) : keepers_.end();
+    if (found != keepers_.end()) {
+        // Nearer ones may be lost; the nearest is probed at the next watch.
+        selection_->current = static_cast<std::size_t>(found - keepers_.begin());
     }
 }
 
--- a/src/libpapayabridge/net/keeper_client_test.cpp
+++ b/src/libpapayabridge/net/keeper_client_test.cpp
@@ -122,6 +122,35 @@
     EXPECT_EQ(watch(client), 8u);
 }
 
+// A keeper registers while the nearest one is lost.
+TEST_F(keeper_client_test, a_new_keeper_does_not_send_the_entry_back_to_a_lost_one)
+{
+    small_keeper far(context, {net::ip::make_address("127.0.0.1"), 0}, 7);
+    small_keeper added(context, {net::ip::make_address("127.0.0.1"), 0}, 8);
+    keeper_client client(context.get_executor(), clients,
+                         {near_place.endpoint(), far.place()});
+    EXPECT_FALSE(watch(client));
+    EXPECT_EQ(watch(client), 7u);
+    client.set_keepers({near_place.endpoint(), added.place(), far.place()});
+    EXPECT_EQ(watch(client), 7u);
+    client.set_keepers({near_place.endpoint(), added.place()});
+    EXPECT_FALSE(watch(client));
+    EXPECT_EQ(watch(client), 8u);
+}
+
+TEST_F(keeper_client_test, a_nearer_keeper_that_is_added_is_used_once_it_answers)
+{
+    small_keeper far(context, {net::ip::make_address("127.0.0.1"), 0}, 7);
+    keeper_client client(context.get_executor(), clients, {far.place()});
+    EXPECT_EQ(watch(client), 7u);
+    small_keeper near(context, near_place.endpoint(), 8);
+    client.set_keepers({near_place.endpoint(), far.place()});
+    auto until = steady_clock::now() + 20s;
+    while (watch(client) != 8u && steady_clock::now() < until) {
+    }
+    EXPECT_EQ(watch(client), 8u);
+}
+
 // A configuration has to be in force three seconds after its confirmation.
 TEST_F(keeper_client_test, changes_arrive_in_time_after_all_open_connections_went_silent)
 {
