The addresses of keepers that were replaced are given up

What callers could see: after a keeper is lost, each entry tries the listed ones in turn. Each address of a keeper that was replaced earlier costs 0.33 s (a connect that nobody answers, and the pauses), and the list only ever grew; with five of them an entry is late by more than the 3 s allowed. The alarm "was not heard for" of such a keeper never ended either.

Change: the leader gives up the address of a keeper that neither votes nor was heard for 15 s; one that comes back registers as a new one does. The decision is in core/departed_keepers. The command is that of a registration with an empty address, which earlier versions store and nobody uses, so that versions may be mixed.

Also: replicator_status uses the shared elapsed_since().

--- a/src/include/papayabridge/log.hpp
+++ b/src/include/papayabridge/log.hpp
@@ -83,6 +83,7 @@
     view_stored_again,
     keeper_behind,
     keeper_current,
+    keeper_address_removed,
     primary_probed,
     promotion_begun,
     promotion_compared,
--- a/src/include/papayabridge/pool_state.hpp
+++ b/src/include/papayabridge/pool_state.hpp
@@ -98,7 +98,8 @@
     published_configuration configuration;
 };
 
-/// Records a keeper's address.
+/// Records a keeper's address, or gives it up if it is empty. Earlier versions keep an
+/// empty address instead, which nobody uses.
 struct register_keeper
 {
     keeper_record keeper;
--- a/src/libpapayabridge/core/log_events.cpp
+++ b/src/libpapayabridge/core/log_events.cpp
@@ -86,6 +86,8 @@
     log_event_row{log_event::keeper_behind, "keeper_behind", change, "applied commit"},
     log_event_row{log_event::keeper_current, "keeper_current", change,
                   "applied after_us"},
+    log_event_row{log_event::keeper_address_removed, "keeper_address_removed", change,
+                  "keeper"},
     log_event_row{log_event::primary_probed, "primary_probed", change,
                   "service member probe complaining entries lasting_us lost"},
     log_event_row{log_event::promotion_begun, "promotion_begun", change,
--- a/src/libpapayabridge/core/pool_state.cpp
+++ b/src/libpapayabridge/core/pool_state.cpp
@@ -68,6 +68,10 @@
 
 void pool_state::apply(control_index, const register_keeper& change)
 {
+    if (change.keeper.rpc.empty()) {
+        keepers_.erase(change.keeper.id);
+        return;
+    }
     // An address belongs to the keeper that registered it last.
     for (auto keeper = keepers_.begin(); keeper != keepers_.end();) {
         bool is_superseded =
--- a/src/libpapayabridge/core/pool_state_test.cpp
+++ b/src/libpapayabridge/core/pool_state_test.cpp
@@ -50,6 +50,20 @@
     EXPECT_EQ(origin.pool().configuration().text, "five");
 }
 
+TEST(pool_state, an_address_is_given_up_until_its_keeper_registers_again)
+{
+    replicated_state origin;
+    keeper_record first{.id = keeper_id("k1"), .rpc = "10.0.0.9:70"};
+    keeper_record second{.id = keeper_id("k2"), .rpc = "10.0.0.8:70"};
+    origin.apply(register_keeper{first});
+    origin.apply(register_keeper{second});
+    origin.apply(register_keeper{{.id = first.id}});
+    EXPECT_EQ(origin.pool().keepers().count(first.id), 0U);
+    EXPECT_EQ(origin.pool().keepers().at(second.id).rpc, second.rpc);
+    origin.apply(register_keeper{first});
+    EXPECT_EQ(origin.pool().keepers().at(first.id).rpc, first.rpc);
+}
+
 TEST(pool_state, delayed_announcement_is_ignored_and_new_run_is_accepted)
 {
     replicated_state origin;
--- a/src/papayakeeper/peer_network.cpp
+++ b/src/papayakeeper/peer_network.cpp
@@ -56,6 +56,13 @@
     }
 }
 
+void peer_network::remove_endpoint(const keeper_id& id)
+{
+    if (id != settings_.id) {
+        endpoints_.erase(id);
+    }
+}
+
 const tcp::endpoint* peer_network::endpoint_of(const keeper_id& id) const
 {
     auto found = endpoints_.find(id);
--- a/src/papayakeeper/peer_network.hpp
+++ b/src/papayakeeper/peer_network.hpp
@@ -49,6 +49,8 @@
     net::awaitable<result<genesis_report>> request_genesis(tcp::endpoint endpoint);
     /// Sets the address of keeper \p id. Does nothing for this keeper itself.
     void set_endpoint(const keeper_id& id, const tcp::endpoint& endpoint);
+    /// Gives up the address of keeper \p id. Does nothing for this keeper itself.
+    void remove_endpoint(const keeper_id& id);
     const std::map<keeper_id, tcp::endpoint>& endpoints() const noexcept
     {
         return endpoints_;
--- a/src/papayakeeper/replicator.cpp
+++ b/src/papayakeeper/replicator.cpp
@@ -298,10 +298,7 @@
             outcome = applied_.apply(entry.index, change.value());
             if (const auto* registration = std::get_if<register_keeper>(&change.value()))
             {
-                auto endpoint = parse_endpoint(registration->keeper.rpc);
-                if (endpoint) {
-                    set_peer_endpoint(registration->keeper.id, *endpoint);
-                }
+                apply_registration(registration->keeper);
             }
         } else {
             applied_.advance(entry.index);
@@ -337,6 +334,7 @@
     for (const auto& change : duties_.due_commands(applied_.state(), now)) {
         consensus_->propose(command_text{to_json(to_value(change))});
     }
+    propose_departures(now);
 }
 
 void replicator::update_role()
@@ -350,7 +348,8 @@
     }
     auto term_text = "term " + std::to_string(consensus_->term().value());
     if (leads) {
-        duties_.start_leading(steady_clock::now());
+        leading_since_ = steady_clock::now();
+        duties_.start_leading(leading_since_);
         events_.record({.kind = event_kind::leader_elected, .detail = term_text});
         log_line(log_event::leader_elected, {{"term", term_text}});
     } else {
--- a/src/papayakeeper/replicator.hpp
+++ b/src/papayakeeper/replicator.hpp
@@ -75,6 +75,7 @@
     net::awaitable<void> register_self();
     std::vector<tcp::endpoint> discovery_endpoints() const;
     void set_peer_endpoint(const keeper_id& id, const tcp::endpoint& endpoint);
+    void apply_registration(const keeper_record& keeper);
     void set_peer_endpoints(const genesis_report& report);
     void set_peer_endpoints(const recovered_state& recovered);
     void set_peer_endpoints(const pool_state& pool);
@@ -92,6 +93,8 @@
     result<void> install(const log_snapshot& snapshot);
     void apply(const log_entry& entry);
     void propose_due_commands();
+    /// Gives up the addresses of keepers that were replaced.
+    void propose_departures(time_point now);
     void update_role();
     void record_commit_notice();
     void update_currency();
@@ -132,6 +135,8 @@
     bool was_current_ = false;
     time_point currency_changed_at_;
     keeper_role last_role_ = keeper_role::follower;
+    time_point leading_since_;
+    time_point departure_check_due_;
     time_point started_;
     bool stopping_ = false;
 };
--- a/src/papayakeeper/replicator_genesis.cpp
+++ b/src/papayakeeper/replicator_genesis.cpp
@@ -1,5 +1,7 @@
 // Agreement on the initial voters, and discovery of other keepers.
 
+#include "core/departed_keepers.hpp"
+#include "elapsed.hpp"
 #include "replicator.hpp"
 
 #include <algorithm>
@@ -15,6 +17,7 @@
 // How often a keeper checks that its address is registered.
 constexpr std::chrono::milliseconds registration_check_interval{300};
 constexpr std::chrono::milliseconds registration_timeout{1000};
+constexpr std::chrono::seconds departure_check_interval{1};
 
 } // namespace
 
@@ -71,6 +74,44 @@
     }
 }
 
+void replicator::apply_registration(const keeper_record& keeper)
+{
+    auto endpoint = parse_endpoint(keeper.rpc);
+    if (endpoint) {
+        set_peer_endpoint(keeper.id, *endpoint);
+    } else if (keeper.rpc.empty()) {
+        network_.remove_endpoint(keeper.id);
+    }
+}
+
+void replicator::propose_departures(time_point now)
+{
+    if (!duties_.is_leading() || now < departure_check_due_) {
+        return;
+    }
+    departure_check_due_ = now + departure_check_interval;
+    auto voters = consensus_->voters();
+    auto settled_voters = consensus_->settled_voters();
+    std::vector<keeper_sighting> known;
+    const auto& registered = applied_.state().pool().keepers();
+    for (const auto& [id, keeper] : registered) {
+        keeper_sighting sighting{.id = id};
+        sighting.votes =
+            id == settings_.id || voters.count(id) != 0 || settled_voters.count(id) != 0;
+        if (auto contact = consensus_->last_contact(id)) {
+            sighting.since_contact = elapsed_since(*contact);
+        }
+        known.push_back(sighting);
+    }
+    auto leading_for =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - leading_since_);
+    for (const auto& id : find_departed_keepers(known, leading_for)) {
+        log_line(log_event::keeper_address_removed, {{"keeper", registered.at(id).rpc}});
+        command change = register_keeper{.keeper = {.id = id}};
+        consensus_->propose(command_text{to_json(to_value(change))});
+    }
+}
+
 // Addresses from entries that are not accepted yet are harmless: a keeper drops messages
 // addressed to another one.
 void replicator::set_peer_endpoints(const recovered_state& recovered)
--- a/src/papayakeeper/replicator_status.cpp
+++ b/src/papayakeeper/replicator_status.cpp
@@ -1,5 +1,6 @@
 // Status and alarms of a keeper.
 
+#include "elapsed.hpp"
 #include "replicator.hpp"
 
 #include <array>
@@ -17,12 +18,6 @@
 constexpr std::array<const char*, 4> role_names{"follower", "candidate", "candidate",
                                                 "leader"};
 
-std::chrono::milliseconds elapsed_since(time_point then)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(steady_clock::now() -
-                                                                 then);
-}
-
 std::string seconds_text(std::chrono::milliseconds time)
 {
     return std::to_string(time.count() / 1000) + " s";
--- a/src/papayakeeper/replicator_test.cpp
+++ b/src/papayakeeper/replicator_test.cpp
@@ -95,6 +95,29 @@
     EXPECT_TRUE(alone.propose_configuration(0));
 }
 
+TEST_F(replicator_test, the_address_of_a_keeper_that_was_replaced_is_given_up)
+{
+    lone_keeper alone(folder);
+    alone.start();
+    const keeper_id replaced("k0");
+    command registration =
+        register_keeper{.keeper = {.id = replaced, .rpc = "127.0.0.1:9"}};
+    ASSERT_TRUE(alone.propose_and_wait(registration));
+    auto is_registered = [&] {
+        return alone.keeper.applied().state().pool().keepers().count(replaced) != 0;
+    };
+    EXPECT_TRUE(is_registered());
+    auto end = steady_clock::now() + std::chrono::seconds(30);
+    while (is_registered() && steady_clock::now() < end) {
+        alone.context.run_one_for(std::chrono::milliseconds(5));
+        alone.context.restart();
+    }
+    EXPECT_FALSE(is_registered());
+    auto peers = alone.keeper.status().peers;
+    EXPECT_TRUE(std::none_of(peers.begin(), peers.end(),
+                             [&](const auto& peer) { return peer.id == replaced; }));
+}
+
 TEST_F(replicator_test, damaged_log_keeps_keeper_out_of_group)
 {
     {
