A settings file that could not be read is read again; a watch owns its entry

Now it is read again at the next check; its problem is logged when it changes, not each second.

keeper_client::watch() took its entry by reference into a coroutine, so that callers had to keep it alive; it takes it by value.

--- a/src/include/papayabridge/keeper_client.hpp
+++ b/src/include/papayabridge/keeper_client.hpp
@@ -102,7 +102,7 @@
     /// of the last keeper asked.
     net::awaitable<result<watch_update>> watch(control_index from,
                                                std::chrono::milliseconds wait,
-                                               const entry_identity& entry,
+                                               entry_identity entry,
                                                bool confirm = false);
 
     /// The status of the keeper at \p keeper.
--- a/src/include/papayabridge/settings.hpp
+++ b/src/include/papayabridge/settings.hpp
@@ -43,6 +43,8 @@
     static settings_document parse(std::string file, std::string text);
 
     const Json::Value& root() const noexcept { return root_; }
+    /// Whether the file could be read, whatever it holds.
+    bool was_read() const noexcept { return was_read_; }
     const std::vector<settings_problem>& problems() const noexcept { return problems_; }
 
     /// Adds a problem with \p value, which must be part of root().
@@ -59,6 +61,7 @@
 
     std::string file_;
     std::string text_;
+    bool was_read_ = true;
     /// If false, the problem is already recorded and missing members are not reported.
     bool readable_ = true;
     Json::Value root_;
--- a/src/libpapayabridge/net/keeper_client.cpp
+++ b/src/libpapayabridge/net/keeper_client.cpp
@@ -173,7 +173,7 @@
 
 net::awaitable<result<watch_update>> keeper_client::watch(control_index from,
                                                           std::chrono::milliseconds wait,
-                                                          const entry_identity& entry,
+                                                          entry_identity entry,
                                                           bool confirm)
 {
     if (keepers_.empty()) {
--- a/src/libpapayabridge/store/settings.cpp
+++ b/src/libpapayabridge/store/settings.cpp
@@ -81,6 +81,7 @@
     // Inserting the buffer of an empty file or a folder sets the fail bit.
     if (!in || !(text << in.rdbuf())) {
         settings_document document;
+        document.was_read_ = false;
         document.report_unreadable(
             {.file = file, .path = "(file)", .accepted = "a file that can be read"});
         return document;
--- a/src/libpapayabridge/tools/settings_watcher.cpp
+++ b/src/libpapayabridge/tools/settings_watcher.cpp
@@ -58,9 +58,15 @@
     if (document.problems().empty()) {
         apply_(document);
     }
-    if (!document.problems().empty()) {
-        log_line(log_event::settings_refused, {{"detail", document.problem_text()}});
+    if (!document.was_read()) {
+        // No descriptor or memory may have been free; the file need not change for that.
+        last_stamp_ = {};
     }
+    auto problems = document.problem_text();
+    if (!problems.empty() && problems != last_problems_) {
+        log_line(log_event::settings_refused, {{"detail", problems}});
+    }
+    last_problems_ = std::move(problems);
 }
 
 } // namespace papayabridge
--- a/src/libpapayabridge/tools/settings_watcher.hpp
+++ b/src/libpapayabridge/tools/settings_watcher.hpp
@@ -11,8 +11,8 @@
 
 namespace papayabridge {
 
-/// Polls a settings file and applies its changes. Must be used on a single thread. The
-/// problems of a file that cannot be applied are logged.
+/// Polls a settings file and applies its changes. Must be used on a single thread. A file
+/// that cannot be read is read again. Problems are logged when they change.
 class settings_watcher
 {
 public:
@@ -45,7 +45,9 @@
     boost::asio::steady_timer timer_;
     std::string file_;
     apply_function apply_;
+    /// That of the last file that was read.
     file_stamp last_stamp_;
+    std::string last_problems_;
 };
 
 } // namespace papayabridge
--- a/src/papayakeeper/keeper_service_test.cpp
+++ b/src/papayakeeper/keeper_service_test.cpp
@@ -61,12 +61,10 @@
                                                        std::make_shared<link_table>(),
                                                        token_codec("k")),
                          {stalled.settings().rpc});
-    const entry_identity no_entry;
     std::optional<result<watch_update>> update;
     auto asked_at = steady_clock::now();
     net::co_spawn(
-        context,
-        keep_result(client.watch(applied, std::chrono::seconds(20), no_entry), update),
+        context, keep_result(client.watch(applied, std::chrono::seconds(20), {}), update),
         net::detached);
     ASSERT_TRUE(propose_configuration(leader(), 0));
     run_until([&] { return update.has_value(); });
