An entry that starts, or was cut off, counts a leaving member's time from before

What callers saw: statements given to a member up to 7.1 s after its leaving was acknowledged (DRAIN; bound 7 s), at entries that had been restarted meanwhile. In production such a member may be gone, and a write at it in doubt.

Cause: each entry counted from when it first saw that the member leaves. A restart, or a return from a cut, began the time anew: "after a restart a server that left in use again".

Ruled out: the drain time (three quarters of it are used), clocks (none stepped), the keepers (the acknowledgement was in every view).

Change: core/leaving_clock counts from the last time at which the entry's state was known to be current without it; an entry that starts knows no such time and gives the member no new statements.

The queue test sets the time explicitly and demands the same.

--- a/src/libpapayabridge/session/member_pool.cpp
+++ b/src/libpapayabridge/session/member_pool.cpp
@@ -102,11 +102,7 @@
                 state.primary_changes = service.primary_changes;
                 state.health.denies_primary_until = {};
             }
-            if (!member.leaving) {
-                state.health.leaving_since.reset();
-            } else if (!state.health.leaving_since) {
-                state.health.leaving_since = steady_clock::now();
-            }
+            state.health.leaving.record(member.leaving, view->current_before);
             state.is_removed = false;
         }
     }
--- a/src/libpapayabridge/session/member_pool.hpp
+++ b/src/libpapayabridge/session/member_pool.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/lag_avoidance.hpp"
+#include "core/leaving_clock.hpp"
 #include "member_connection.hpp"
 #include "pool_view.hpp"
 
@@ -71,8 +72,7 @@
     time_point denies_primary_until;
     /// Refusals of reads because its log was behind.
     lag_avoidance behind;
-    /// When this entry first saw that the member is leaving.
-    std::optional<time_point> leaving_since;
+    leaving_clock leaving;
     /// Number of statements that wait for an answer of this member.
     unsigned outstanding = 0;
     /// Since when these statements have had no answer: the last answer, or the start of
--- a/src/libpapayabridge/session/pool_view.hpp
+++ b/src/libpapayabridge/session/pool_view.hpp
@@ -5,6 +5,7 @@
 
 #include "core/gate_placement.hpp"
 
+#include <optional>
 #include <papayabridge/control_state.hpp>
 #include <papayabridge/links.hpp>
 #include <papayabridge/pooled_configuration.hpp>
@@ -77,6 +78,9 @@
     /// A leaving member is given no new statement once it has been leaving for this
     /// long.
     std::chrono::milliseconds leaving_limit{std::chrono::seconds(5)};
+    /// When the view before this one was last known to be current; empty if there was
+    /// none.
+    std::optional<time_point> current_before;
     /// Number of entries that share the members' connections.
     std::size_t entries = 1;
     /// Entries that can be gates.
--- a/src/libpapayabridge/session/session_entry.cpp
+++ b/src/libpapayabridge/session/session_entry.cpp
@@ -208,7 +208,11 @@
         }
         auto update = co_await keepers_.watch(from, watch_wait, self, !state_confirmed_);
         if (update) {
+            bool is_current = update.value().is_current;
             apply_update(std::move(update.value()));
+            if (is_current && state_confirmed_) {
+                state_current_at_ = steady_clock::now();
+            }
         } else {
             co_await sleep_for(watch_retry);
         }
@@ -269,6 +273,7 @@
     // The last quarter is left for running statements and for a late notice of the
     // leaving member.
     view->leaving_limit = settings_.member_drain * 3 / 4;
+    view->current_before = state_current_at_;
     for (const auto& [name, service] : view->services) {
         const auto* before = services_.view->service(name);
         if (before == nullptr || before->primary_changes != service.primary_changes) {
--- a/src/libpapayabridge/session/session_entry.hpp
+++ b/src/libpapayabridge/session/session_entry.hpp
@@ -84,6 +84,8 @@
     /// Whether the state has been confirmed as the newest since the start, or the wait
     /// for that has timed out.
     bool state_confirmed_ = false;
+    /// When a current keeper last answered; empty before.
+    std::optional<time_point> state_current_at_;
     bool ready_ = false;
     bool stopping_ = false;
     bool registering_ = false;
--- a/src/libpapayabridge/session/statement_gate.cpp
+++ b/src/libpapayabridge/session/statement_gate.cpp
@@ -104,9 +104,7 @@
         return fail(error_kind::not_found, member.str() + " is not known at its gate");
     }
     const auto& health = pool_.health(member);
-    if (health.leaving_since &&
-        steady_clock::now() - *health.leaving_since > view_->leaving_limit)
-    {
+    if (health.leaving.is_over(steady_clock::now(), view_->leaving_limit)) {
         return fail(error_kind::unreachable, member.str() + " is leaving");
     }
     return pool_.find_obstacle(member, request.needs_primary);
--- a/src/libpapayabridge/session/statement_gate_test.cpp
+++ b/src/libpapayabridge/session/statement_gate_test.cpp
@@ -102,6 +102,7 @@
                                        .gate = {.connections = 5, .slots = slots}});
         }
         view->leaving_limit = leaving_limit;
+        view->current_before = steady_clock::now();
         view->services[service_name("svc")] = service;
         pool.update(view);
         gate.update(view);
--- a/src/libpapayabridge/session/statement_runner.cpp
+++ b/src/libpapayabridge/session/statement_runner.cpp
@@ -119,8 +119,7 @@
     std::vector<std::pair<int, member_id>> ordered;
     for (const auto& member : service->members) {
         const auto& health = services_.pool.health(member.run.id);
-        bool gone = health.leaving_since &&
-                    now - *health.leaving_since > services_.view->leaving_limit;
+        bool gone = health.leaving.is_over(now, services_.view->leaving_limit);
         bool not_primary = !candidates.min_position && member.run.id != service->primary;
         bool behind = candidates.min_position &&
                       health.behind.is_avoided(now, *candidates.min_position);
