A quiet connection is kept while no new one can be opened

An entry would have lost keepers that it still heard, late.

Tests: one that failed before, and one that a peer that is gone still costs no wait.

--- a/src/libpapayabridge/net/relay.hpp
+++ b/src/libpapayabridge/net/relay.hpp
@@ -34,8 +34,7 @@
     }
     ~relay()
     {
-        boost::system::error_code ignored;
-        acceptor_->close(ignored);
+        stop_accepting();
         for (const auto& one : *channels_) {
             one->close();
         }
@@ -54,6 +53,13 @@
         }
     }
 
+    /// Refuses later connections; those that are open work.
+    void stop_accepting()
+    {
+        boost::system::error_code ignored;
+        acceptor_->close(ignored);
+    }
+
     /// The connections accepted so far.
     std::size_t accepted() const { return channels_->size(); }
 
--- a/src/libpapayabridge/rpc/rpc_client.cpp
+++ b/src/libpapayabridge/rpc/rpc_client.cpp
@@ -20,10 +20,13 @@
 // Covers several round trips between regions. A peer that has lost power does not refuse
 // the connection, and TCP repeats a lost SYN only after a second.
 constexpr std::chrono::milliseconds connect_timeout{250};
-// A connection on which nothing was received for this long takes no new calls: it may
-// have gone silent without being closed. Longer than a watch waits for news, so that
-// watching a keeper keeps one connection.
+// A connection on which nothing was received for this long is replaced before the next
+// call: it may have gone silent without being closed. Longer than a watch waits for news,
+// so that watching a keeper keeps one connection.
 constexpr std::chrono::milliseconds max_silence{1200};
+// If no new connection can be opened, the silent one is used for this long: on an
+// overloaded link it may only be slow.
+constexpr std::chrono::milliseconds max_fallback_silence{3000};
 
 // A call that waits for its response.
 struct pending_call
@@ -79,9 +82,9 @@
     connection.pending.clear();
 }
 
-bool is_silent(const open_connection& connection)
+std::chrono::nanoseconds silence_of(const open_connection& connection)
 {
-    return steady_clock::now() - connection.last_received > max_silence;
+    return steady_clock::now() - connection.last_received;
 }
 
 void close_if_unused(open_connection& connection)
@@ -142,6 +145,20 @@
 
 namespace {
 
+// Calls that wait on the connection may still be answered: the peer may only be slow.
+void retire_connection(rpc_client::state& client)
+{
+    auto connection = std::exchange(client.connection, nullptr);
+    bool owes_answer = connection->owes_response || !connection->pending.empty();
+    if (owes_answer && !connection->broken) {
+        auto at = to_string(client.remote);
+        log_line(log_event::connection_silent,
+                 {{"at", at}, {"since_us", log_us(silence_of(*connection))}});
+    }
+    connection->retired = true;
+    close_if_unused(*connection);
+}
+
 net::awaitable<void> connect(std::shared_ptr<rpc_client::state> client)
 {
     client->connect_timer.expires_after(connect_timeout);
@@ -158,9 +175,16 @@
         set_liveness_options(new_connection->socket);
         authenticated = co_await answer_challenge(new_connection->socket, client->key);
     }
+    bool connected = authenticated && !new_connection->broken;
+    bool is_replaced =
+        client->connection &&
+        (connected || silence_of(*client->connection) > max_fallback_silence);
+    if (is_replaced) {
+        retire_connection(*client);
+    }
     if (client->closed) {
         close_connection(*new_connection);
-    } else if (authenticated && !new_connection->broken) {
+    } else if (connected) {
         client->connection = new_connection;
         net::co_spawn(client->executor, read_responses(new_connection), net::detached);
     }
@@ -171,30 +195,13 @@
     }
 }
 
-// Calls that wait on the connection may still be answered: the peer may only be slow.
-void retire_connection(rpc_client::state& client)
-{
-    auto connection = std::exchange(client.connection, nullptr);
-    if (connection->owes_response || !connection->pending.empty()) {
-        auto at = to_string(client.remote);
-        auto since = steady_clock::now() - connection->last_received;
-        log_line(log_event::connection_silent, {{"at", at}, {"since_us", log_us(since)}});
-    }
-    connection->retired = true;
-    close_if_unused(*connection);
-}
-
 net::awaitable<std::shared_ptr<open_connection>>
 acquire_connection(std::shared_ptr<rpc_client::state> client, time_point deadline)
 {
-    if (client->connection && client->connection->broken) {
-        client->connection.reset();
-    }
-    if (client->connection && is_silent(*client->connection)) {
-        retire_connection(*client);
-    }
+    bool is_usable = client->connection && !client->connection->broken &&
+                     silence_of(*client->connection) <= max_silence;
     // Connecting runs in its own coroutine, so that each call can end at its deadline.
-    if (!client->connection && !client->connecting) {
+    if (!is_usable && !client->connecting) {
         client->connecting = true;
         net::co_spawn(client->executor, connect(client), net::detached);
     }
@@ -204,6 +211,9 @@
         waiter->expires_at(deadline);
         co_await waiter->async_wait(use_tuple);
     }
+    if (client->connection && client->connection->broken) {
+        client->connection.reset();
+    }
     co_return client->connection;
 }
 
--- a/src/libpapayabridge/rpc/rpc_test.cpp
+++ b/src/libpapayabridge/rpc/rpc_test.cpp
@@ -265,6 +265,37 @@
     EXPECT_EQ(order, std::vector<int>{2500});
 }
 
+// A slow link may delay answers, and have no room for a new connection.
+TEST_F(rpc_test, a_quiet_connection_is_still_used_if_no_new_one_can_be_opened)
+{
+    start();
+    relay between(context_, server_->local_endpoint());
+    client_.emplace(context_.get_executor(), links_, between.endpoint(), fleet_key);
+    ASSERT_TRUE(call("echo"));
+    between.stop_accepting();
+    net::steady_timer timer(context_, 1500ms);
+    run_awaitable(context_, wait_for(timer));
+    EXPECT_TRUE(call("echo", Json::objectValue, {}, 1s));
+}
+
+// Its peer is most likely gone, and the caller has others to ask.
+TEST_F(rpc_test, a_connection_that_was_long_quiet_is_given_up_if_no_new_one_can_be_opened)
+{
+    start();
+    relay between(context_, server_->local_endpoint());
+    client_.emplace(context_.get_executor(), links_, between.endpoint(), fleet_key);
+    ASSERT_TRUE(call("echo"));
+    between.silence_open_connections();
+    between.stop_accepting();
+    net::steady_timer timer(context_, 3500ms);
+    run_awaitable(context_, wait_for(timer));
+    auto asked_at = steady_clock::now();
+    auto refused = call("echo", Json::objectValue, {}, 20s);
+    ASSERT_FALSE(refused);
+    EXPECT_EQ(refused.error().kind, error_kind::unreachable);
+    EXPECT_LT(steady_clock::now() - asked_at, 10s);
+}
+
 TEST_F(rpc_test, calls_in_quick_succession_share_a_connection)
 {
     start();
