--- a/review/standins/database.py
+++ b/review/standins/database.py
@@ -44,6 +44,7 @@
         self.acknowledged = []      # (place, time of the answer) of each acknowledged commit
         self.lost = []              # acknowledged commits that a promoted member lacked
         self.late_orders = []       # seconds by which the next orders are carried out late
+        self.large_items = {}       # item -> the rows of a large answer
         self.tasks = set()
 
     def member(self, member_id):
@@ -431,6 +432,8 @@
 
 
 def rows_of(self, item, own_writes):
+    if item in self.service.large_items:
+        return self.service.large_items[item]
     found = None
     for entry in self.applied():
         for written, data in entry.writes:
