--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,8 +1,9 @@
-"""A replica whose DELETE is not acknowledged goes on acknowledging commits for the primary until it
-ends; the only other one receives nothing, and the primary crashes. See claim.txt."""
+"""A replica leaves as planned, the only other one receives nothing, the leading keeper is killed,
+and then the primary crashes. See claim.txt."""
 
 import asyncio
 import os
+import signal
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
@@ -12,10 +13,11 @@
 from fleet import CannotRun, FRONT_PORT, run_case            # noqa: E402
 from site_of_three import DRAIN_SECONDS, play_site           # noqa: E402
 
-# The site's disruption replica_lag "deaf crash": deaf for 6.5 s at most.
-DEAF_SECONDS = 6.5
-# "If it receives no ack, it exits anyway, some seconds later."
-SECONDS_WITHOUT_ACK = 3.0
+# The site's disruptions: replica_lag "deaf" for 6.5 s, node_kill "leader", srv_crash "primary" for
+# 7 s.
+DEAF_SECONDS, DOWN_SECONDS = 6.5, 7.0
+# With KEEP_LEADER=1 the leading keeper is not killed; the rule then holds.
+KILLS_LEADER = os.environ.get("KEEP_LEADER") != "1"
 
 
 async def play(record, trouble):
@@ -25,17 +27,9 @@
         writer = await Caller(record, "writer", (entry.ip, FRONT_PORT), "orders1").open()
         if not await writer.write("plank", "first"):
             raise CannotRun("the first write is not acknowledged")
+        # Planned shutdown of a replica: draining, drainMs after the ack DELETE, then it ends.
         site.leaver.drain()
-        await asyncio.sleep(DRAIN_SECONDS + 0.2)
-        # Every answer to the DELETE is lost on its way back.
-        site.leaver.beats = False
-        acked = await site.leaver.call_keepers("DELETE", "/-/instances/i-2", None,
-                                               loses_answer=trouble)
-        record("member i-2 sends DELETE, acknowledged:", acked)
-        if acked:
-            record("member i-2 ends")
-            site.leaver.stop()
-        await asyncio.sleep(0.8)
+        await asyncio.sleep(DRAIN_SECONDS - 0.5)
         if trouble:
             record("disruption: member i-3 receives nothing for", DEAF_SECONDS, "s")
             site.stayer.deaf = True
@@ -45,13 +39,22 @@
             await asyncio.sleep(0.1)
         if acknowledged < 5:
             raise CannotRun("writes with all members in place are not acknowledged")
-        await asyncio.sleep(SECONDS_WITHOUT_ACK - 0.8 - 0.6)
+        acked = await site.leaver.call_keepers("DELETE", "/-/instances/i-2", None)
+        record("member i-2 sends DELETE, acknowledged:", acked, "and ends")
+        site.leaver.beats = False
+        site.leaver.stop()
+        await asyncio.sleep(0.3)
         if trouble:
-            record("member i-2 ends")
-            site.leaver.stop()
-            await asyncio.sleep(0.2)
-            record("disruption: the primary i-1 crashes")
+            if KILLS_LEADER:
+                leader = fleet.leader()
+                record("disruption: the leading keeper", leader.name, "is killed")
+                leader.send(signal.SIGKILL)
+                await asyncio.sleep(0.3)
+                leader.start()
+                await asyncio.sleep(1.2)
+            record("disruption: the primary i-1 crashes for", DOWN_SECONDS, "s")
             site.primary.stop()
+        # The caller goes on with its orders; no one else reports that a primary is lost.
         for number in range(20):
             await writer.write("plank", f"later-{number}", seconds=0.25)
             if service.lost:
--- a/review/standins/site_of_three.py
+++ b/review/standins/site_of_three.py
@@ -1,4 +1,4 @@
-"""What the scripts of cases 1, 4 and 5 share: the configuration and a fleet with one service of three
+"""What the scripts of cases 1 and 5 share: the configuration and a fleet with one service of three
 members."""
 
 import asyncio
