One unreadable liveness report stopped the control plane

Cause: parse_json checked the bytes before they were decoded. jsoncpp decodes "\udc80" into bytes that are not UTF-8; the leader wrote them into its log and its append messages, and the followers refused each message whole. An id in the path could hold any byte.

Ruled out: damaged frames or records (checksums fit), an exception (no process ended). The leader's own report is needed: a follower's call goes through a JSON writer that replaces such bytes.

--- a/src/include/papayabridge/control_state.hpp
+++ b/src/include/papayabridge/control_state.hpp
@@ -205,6 +205,10 @@
 Json::Value to_value(const command& change);
 result<command> command_from(const Json::Value& value);
 
+/// The text of a command in the keepers' log. `bad_request` if the text would not be read
+/// as the same command.
+result<std::string> encode_command(const command& change);
+
 /// The result of applying a command; the same in every process.
 struct command_outcome
 {
@@ -247,6 +251,8 @@
     static result<control_state> from_snapshot(const Json::Value& value);
 
 private:
+    static result<control_state> decode_snapshot(const Json::Value& value);
+
     // The outcome of an earlier configuration change, kept for resends.
     struct past_change
     {
--- a/src/include/papayabridge/log.hpp
+++ b/src/include/papayabridge/log.hpp
@@ -75,6 +75,8 @@
     leader_stepped_down,
     group_joined,
     log_tail_cut,
+    log_text_repaired,
+    command_refused,
     storage_failed,
     storage_recovered,
     event_file_failed,
--- a/src/libpapayabridge/core/consensus_codec.cpp
+++ b/src/libpapayabridge/core/consensus_codec.cpp
@@ -191,6 +191,9 @@
 
 result<log_entry> log_entry_from(const Json::Value& value)
 {
+    if (!value.isObject()) {
+        return fail(error_kind::bad_request, "not a log entry");
+    }
     log_entry entry;
     entry.index = count_of<control_index>(value, "index");
     entry.term = count_of<keeper_term>(value, "term");
--- a/src/libpapayabridge/core/control_codec.cpp
+++ b/src/libpapayabridge/core/control_codec.cpp
@@ -336,13 +336,29 @@
 {
     auto name = text_of(value, "do");
     for (const auto& row : decoders) {
-        if (row.name == name) {
-            return row.decode(value);
+        if (row.name != name) {
+            continue;
         }
+        return decode_guarded(row.name,
+                              [&]() -> result<command> { return row.decode(value); });
     }
     return fail(error_kind::bad_request, "no command called \"" + name + "\"");
 }
 
+// One command that cannot be read would stop the replication of all that follow it.
+result<std::string> encode_command(const command& change)
+{
+    auto text = to_json(to_value(change));
+    BOOST_OUTCOME_TRY(auto parsed, parse_json(text));
+    BOOST_OUTCOME_TRY(auto decoded, command_from(parsed));
+    if (to_json(to_value(decoded)) != text) {
+        return fail(error_kind::bad_request,
+                    "the command \"" + text_of(parsed, "do") +
+                        "\" holds a value that its encoding does not keep");
+    }
+    return text;
+}
+
 Json::Value to_value(const command_outcome& outcome)
 {
     Json::Value value;
@@ -398,6 +414,11 @@
 }
 
 result<control_state> control_state::from_snapshot(const Json::Value& value)
+{
+    return decode_guarded("snapshot", [&] { return decode_snapshot(value); });
+}
+
+result<control_state> control_state::decode_snapshot(const Json::Value& value)
 {
     if (!value.isObject() || !value["databases"].isArray() || !value["entries"].isArray())
     {
--- a/src/libpapayabridge/core/json.cpp
+++ b/src/libpapayabridge/core/json.cpp
@@ -80,39 +80,93 @@
     }
 }
 
+// Length of the valid UTF-8 sequence at the start of `text`, which is not empty; 0 if
+// there is none.
+std::size_t sequence_length(std::string_view text) noexcept
+{
+    auto lead = static_cast<unsigned char>(text.front());
+    int more = continuation_count(lead);
+    if (more < 0 || static_cast<std::size_t>(more) >= text.size()) {
+        return 0;
+    }
+    for (int i = 1; i <= more; ++i) {
+        auto byte = static_cast<unsigned char>(text[static_cast<std::size_t>(i)]);
+        if ((byte & 0xC0) != 0x80 || (i == 1 && !second_byte_fits(lead, byte))) {
+            return 0;
+        }
+    }
+    return static_cast<std::size_t>(more) + 1;
+}
+
+// jsoncpp decodes the escape of a lone surrogate into bytes that are not UTF-8.
+bool holds_only_utf8(const Json::Value& value)
+{
+    if (value.isString()) {
+        return is_utf8(value.asString());
+    }
+    if (!value.isObject() && !value.isArray()) {
+        return true;
+    }
+    for (auto item = value.begin(); item != value.end(); ++item) {
+        if ((value.isObject() && !is_utf8(item.name())) || !holds_only_utf8(*item)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 } // namespace
 
 bool is_utf8(std::string_view text) noexcept
 {
-    std::size_t at = 0;
-    while (at < text.size()) {
-        auto lead = static_cast<unsigned char>(text[at]);
-        int more = continuation_count(lead);
-        if (more < 0 || at + static_cast<std::size_t>(more) >= text.size()) {
+    while (!text.empty()) {
+        auto length = sequence_length(text);
+        if (length == 0) {
             return false;
         }
-        for (int i = 1; i <= more; ++i) {
-            auto byte =
-                static_cast<unsigned char>(text[at + static_cast<std::size_t>(i)]);
-            if ((byte & 0xC0) != 0x80 || (i == 1 && !second_byte_fits(lead, byte))) {
-                return false;
-            }
-        }
-        at += static_cast<std::size_t>(more) + 1;
+        text.remove_prefix(length);
     }
     return true;
 }
 
+std::string replace_invalid_utf8(std::string_view text)
+{
+    constexpr std::string_view replacement = "\xEF\xBF\xBD";
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string replaced;
+    replaced.reserve(text.size());
+    while (!text.empty()) {
+        auto length = sequence_length(text);
+        if (length > 0) {
+            replaced += text.substr(0, length);
+            text.remove_prefix(length);
+            continue;
+        }
+        auto byte = static_cast<unsigned char>(text.front());
+        replaced += replacement;
+        replaced += digits[byte >> 4U];
+        replaced += digits[byte & 0xFU];
+        text.remove_prefix(1);
+    }
+    return replaced;
+}
+
 result<Json::Value> parse_json(std::string_view text, const json_options& options)
 {
     if (!is_utf8(text)) {
         return fail(error_kind::bad_request, "the JSON text is not valid UTF-8");
     }
+    // Without escapes, each decoded string is a part of the text.
+    bool has_unicode_escapes = text.find("\\u") != std::string_view::npos;
     Json::Value value;
     std::string problems;
     try {
         auto& reader = reader_for(options);
         if (reader.parse(text.data(), text.data() + text.size(), &value, &problems)) {
+            if (has_unicode_escapes && !holds_only_utf8(value)) {
+                return fail(error_kind::bad_request,
+                            "a string of the JSON text is not valid Unicode");
+            }
             return value;
         }
     } catch (const Json::Exception&) {
--- a/src/libpapayabridge/core/pool_codec.cpp
+++ b/src/libpapayabridge/core/pool_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "packed_text.hpp"
 
+#include <algorithm>
 #include <papayabridge/json.hpp>
 
 namespace papayabridge {
@@ -86,6 +87,9 @@
     return service;
 }
 
+// A longer failure changes no decision, and more would not fit into a time point.
+constexpr std::uint64_t max_failure_ms = 24ULL * 60 * 60 * 1000;
+
 // A text that cannot be read leaves version 0, which never takes effect.
 published_configuration configuration_from(const Json::Value& value)
 {
@@ -121,7 +125,8 @@
     return {.entry = entry_id(text_of(value, "entry")),
             .service = service_name(text_of(value, "service")),
             .member = member_id(text_of(value, "member")),
-            .duration = std::chrono::milliseconds(number_of(value, "lasting_ms"))};
+            .duration = std::chrono::milliseconds(
+                std::min(number_of(value, "lasting_ms"), max_failure_ms))};
 }
 
 Json::Value encode(const publish_configuration& change)
@@ -267,8 +272,9 @@
     for (const auto& name : value["services"].getMemberNames()) {
         state.services_[service_name(name)] = service_from(value["services"][name]);
     }
-    for (const auto& name : value["removed"].getMemberNames()) {
-        state.removed_[member_id(name)] = number_of(value["removed"], name.c_str());
+    const auto& removed = value["removed"];
+    for (auto run = removed.begin(); run != removed.end(); ++run) {
+        state.removed_[member_id(run.name())] = run->isUInt64() ? run->asUInt64() : 0;
     }
     return state;
 }
--- a/src/libpapayabridge/entry/caller_service.cpp
+++ b/src/libpapayabridge/entry/caller_service.cpp
@@ -2,6 +2,8 @@
 
 #include "caller_request.hpp"
 
+#include <algorithm>
+#include <array>
 #include <papayabridge/json.hpp>
 
 namespace papayabridge {
@@ -10,6 +12,8 @@
 
 constexpr std::size_t chunk_bytes = 64 * 1024;
 constexpr std::string_view caller_prefix = "/v1/";
+constexpr std::array announced_counts{"group_size", "slots", "connections"};
+constexpr std::uint64_t max_announced_count = 1'000'000;
 
 std::string target_of(const http_exchange& exchange)
 {
@@ -17,6 +21,23 @@
     return {target.data(), target.size()};
 }
 
+bool has_usable_endpoint(const Json::Value& announcement)
+{
+    auto endpoint = parse_endpoint(text_of(announcement, "endpoint"));
+    return endpoint && endpoint->port() != 0;
+}
+
+// Whether each count that the announcement tells can be used.
+bool has_usable_counts(const Json::Value& announcement)
+{
+    return std::all_of(announced_counts.begin(), announced_counts.end(),
+                       [&](const char* name) {
+                           auto count = number_of(announcement, name);
+                           return !announcement.isMember(name) ||
+                                  (count >= 1 && count <= max_announced_count);
+                       });
+}
+
 std::vector<std::string> split_at_slashes(std::string_view text)
 {
     std::vector<std::string> segments;
@@ -212,11 +233,12 @@
     auto parsed = parse_json(exchange.request().body());
     announce_member change;
     change.member.id = member_id(parsed ? text_of(parsed.value(), "member") : "");
-    if (!parsed || change.member.id.empty() ||
-        !parse_endpoint(text_of(parsed.value(), "endpoint")))
+    if (!parsed || change.member.id.empty() || !has_usable_endpoint(parsed.value()) ||
+        !has_usable_counts(parsed.value()))
     {
         auto problem = fail(error_kind::bad_request,
-                            "an announcement needs service, database, member, endpoint");
+                            "an announcement needs service, database, member, endpoint, "
+                            "and counts from 1 to 1000000");
         static_cast<void>(
             co_await exchange.reply(json_response(400, error_body(problem, {}))));
         co_return;
--- a/src/libpapayabridge/net/keeper_messages.cpp
+++ b/src/libpapayabridge/net/keeper_messages.cpp
@@ -56,6 +56,58 @@
     return peer;
 }
 
+result<watch_update> decode_watch_update(const Json::Value& value)
+{
+    if (!value.isObject() || !value["applied"].isUInt64()) {
+        return fail(error_kind::bad_request, "not an answer to keeper.watch");
+    }
+    watch_update update;
+    update.applied = control_index(number_of(value, "applied"));
+    update.is_current = flag_of(value, "leader_known");
+    update.is_up_to_date = flag_of(value, "newest");
+    if (value["snapshot"].isObject()) {
+        auto state = control_state::from_snapshot(value["snapshot"]);
+        if (!state) {
+            return state.error();
+        }
+        update.snapshot = std::move(state.value());
+    }
+    for (const auto& item : value["commands"]) {
+        auto change = command_from(item["command"]);
+        if (!change) {
+            return change.error();
+        }
+        update.commands.push_back({.index = control_index(number_of(item, "index")),
+                                   .change = std::move(change.value())});
+    }
+    return update;
+}
+
+result<keeper_status> decode_keeper_status(const Json::Value& value)
+{
+    if (!value.isObject() || !value["id"].isString()) {
+        return fail(error_kind::bad_request, "not an answer to keeper.status");
+    }
+    keeper_status status;
+    status.id = keeper_id(text_of(value, "id"));
+    status.role = text_of(value, "role");
+    status.term = number_of(value, "term");
+    status.leader = keeper_id(text_of(value, "leader"));
+    // Earlier versions do not tell.
+    status.is_current = value.isMember("is_current") ? flag_of(value, "is_current")
+                                                     : !status.leader.empty();
+    status.applied = control_index(number_of(value, "applied"));
+    status.committed = control_index(number_of(value, "committed"));
+    status.voters = ids_from(value["voters"]);
+    status.learners = ids_from(value["learners"]);
+    for (const auto& peer : value["peers"]) {
+        status.peers.push_back(peer_from(peer));
+    }
+    status.storage = text_of(value, "storage");
+    status.alarms = texts_from(value["alarms"]);
+    return status;
+}
+
 } // namespace
 
 Json::Value to_value(const watch_update& update)
@@ -81,29 +133,7 @@
 
 result<watch_update> watch_update_from(const Json::Value& value)
 {
-    if (!value.isObject() || !value["applied"].isUInt64()) {
-        return fail(error_kind::bad_request, "not an answer to keeper.watch");
-    }
-    watch_update update;
-    update.applied = control_index(number_of(value, "applied"));
-    update.is_current = flag_of(value, "leader_known");
-    update.is_up_to_date = flag_of(value, "newest");
-    if (value["snapshot"].isObject()) {
-        auto state = control_state::from_snapshot(value["snapshot"]);
-        if (!state) {
-            return state.error();
-        }
-        update.snapshot = std::move(state.value());
-    }
-    for (const auto& item : value["commands"]) {
-        auto change = command_from(item["command"]);
-        if (!change) {
-            return change.error();
-        }
-        update.commands.push_back({.index = control_index(number_of(item, "index")),
-                                   .change = std::move(change.value())});
-    }
-    return update;
+    return decode_guarded("watch update", [&] { return decode_watch_update(value); });
 }
 
 Json::Value to_value(const keeper_status& status)
@@ -132,27 +162,7 @@
 
 result<keeper_status> keeper_status_from(const Json::Value& value)
 {
-    if (!value.isObject() || !value["id"].isString()) {
-        return fail(error_kind::bad_request, "not an answer to keeper.status");
-    }
-    keeper_status status;
-    status.id = keeper_id(text_of(value, "id"));
-    status.role = text_of(value, "role");
-    status.term = number_of(value, "term");
-    status.leader = keeper_id(text_of(value, "leader"));
-    // Earlier versions do not tell.
-    status.is_current = value.isMember("is_current") ? flag_of(value, "is_current")
-                                                     : !status.leader.empty();
-    status.applied = control_index(number_of(value, "applied"));
-    status.committed = control_index(number_of(value, "committed"));
-    status.voters = ids_from(value["voters"]);
-    status.learners = ids_from(value["learners"]);
-    for (const auto& peer : value["peers"]) {
-        status.peers.push_back(peer_from(peer));
-    }
-    status.storage = text_of(value, "storage");
-    status.alarms = texts_from(value["alarms"]);
-    return status;
+    return decode_guarded("keeper status", [&] { return decode_keeper_status(value); });
 }
 
 } // namespace papayabridge
--- a/src/libpapayabridge/store/keeper_log.cpp
+++ b/src/libpapayabridge/store/keeper_log.cpp
@@ -7,6 +7,7 @@
 #include <cerrno>
 #include <cstring>
 #include <papayabridge/json.hpp>
+#include <papayabridge/log.hpp>
 
 namespace papayabridge {
 
@@ -54,6 +55,16 @@
     std::vector<log_entry> entries;
 };
 
+// Earlier versions took member announcements whose decoded text is not UTF-8, and wrote
+// them as they were.
+void repair_text(std::string& text, const std::string& folder, const std::string& name)
+{
+    if (!is_utf8(text)) {
+        text = replace_invalid_utf8(text);
+        log_line(log_event::log_text_repaired, {{"folder", folder}, {"detail", name}});
+    }
+}
+
 result<void> apply_record(decoded_log& decoded, const std::string& text)
 {
     auto value = parse_json(text);
@@ -61,6 +72,9 @@
         return value.error();
     }
     const auto& record = value.value();
+    if (!record.isObject()) {
+        return fail(error_kind::bad_request, "not a record of the log");
+    }
     if (record.isMember("after")) {
         decoded.base = header_from(record["after"]);
     }
@@ -258,6 +272,7 @@
     }
     auto snapshot = header_from(header.value());
     snapshot.state = std::move(records.payloads.back());
+    repair_text(snapshot.state, folder_, snapshot_name);
     return std::optional<log_snapshot>(std::move(snapshot));
 }
 
@@ -305,7 +320,8 @@
                             ", before valid records");
     }
     decoded_log decoded;
-    for (const auto& text : records.payloads) {
+    for (auto& text : records.payloads) {
+        repair_text(text, folder_, log_name);
         auto applied = apply_record(decoded, text);
         if (!applied) {
             return mark_damaged("the log holds an invalid record: " +
--- a/src/papayakeeper/keeper_group_test.hpp
+++ b/src/papayakeeper/keeper_group_test.hpp
@@ -190,9 +190,13 @@
 
     result<proposal_outcome> propose_configuration(group_keeper& at, std::uint64_t base)
     {
-        command change =
-            change_configuration{.base = config_version(base),
-                                 .change = change_id("c" + std::to_string(base))};
+        return propose(
+            at, change_configuration{.base = config_version(base),
+                                     .change = change_id("c" + std::to_string(base))});
+    }
+
+    result<proposal_outcome> propose(group_keeper& at, command change)
+    {
         auto deadline = steady_clock::now() + std::chrono::seconds(3);
         return run_awaitable(context,
                              at.keeper.propose(std::move(change), deadline, false));
--- a/src/papayakeeper/keeper_service_test.cpp
+++ b/src/papayakeeper/keeper_service_test.cpp
@@ -137,6 +137,32 @@
     EXPECT_TRUE(watch(full).value().is_current);
 }
 
+// One report whose bytes were no text stopped every later change: the followers could not
+// read the leader's messages any more.
+TEST_F(keeper_group_test, changes_are_accepted_after_a_command_that_cannot_be_read)
+{
+    start();
+    ASSERT_TRUE(propose_configuration(leader(), 0));
+    for (auto& keeper : keepers) {
+        pooled_member odd{.run = {.id = member_id("i-other"), .started_ms = 1},
+                          .service = service_name("s"),
+                          .endpoint = "127.0.0.1:9",
+                          .domain = domain_name("a\xED\xB2\x80"),
+                          .sequence = 1};
+        EXPECT_FALSE(propose(*keeper, report_member{.member = odd}));
+        odd.domain = domain_name("a");
+        odd.run.id = member_id("i-\xFF");
+        EXPECT_FALSE(propose(*keeper, report_member{.member = odd}));
+    }
+    ASSERT_TRUE(propose_configuration(leader(), 1));
+    auto version = config_version(2);
+    run_until([&] {
+        return std::all_of(keepers.begin(), keepers.end(), [&](const auto& keeper) {
+            return version_at(*keeper) == version;
+        });
+    });
+}
+
 // Four seconds after such a fault the keepers have to act within their usual times again.
 TEST_F(keeper_group_test, changes_are_accepted_soon_after_open_connections_went_silent)
 {
--- a/src/papayakeeper/peer_network.cpp
+++ b/src/papayakeeper/peer_network.cpp
@@ -25,6 +25,22 @@
     return cut == link_cut::receive || cut == link_cut::both;
 }
 
+result<genesis_report> genesis_report_from(const Json::Value& value)
+{
+    genesis_report report;
+    report.id = keeper_id(text_of(value, "id"));
+    const auto& endpoints = value["places"];
+    for (const auto& id : endpoints.getMemberNames()) {
+        auto parsed = parse_endpoint(text_of(endpoints, id.c_str()));
+        if (parsed) {
+            report.endpoints[keeper_id(id)] = *parsed;
+        }
+    }
+    report.incarnation = keeper_incarnation(number_of(value, "incarnation"));
+    report.voters = voters_from(value["voters"]);
+    return report;
+}
+
 } // namespace
 
 Json::Value to_value(const genesis_report& report)
@@ -157,19 +173,8 @@
     if (!answer) {
         co_return answer.error();
     }
-    genesis_report report;
-    report.id = keeper_id(text_of(answer.value().body, "id"));
-    const auto& endpoints = answer.value().body["places"];
-    for (const auto& id : endpoints.getMemberNames()) {
-        auto parsed = parse_endpoint(text_of(endpoints, id.c_str()));
-        if (parsed) {
-            report.endpoints[keeper_id(id)] = *parsed;
-        }
-    }
-    report.incarnation =
-        keeper_incarnation(number_of(answer.value().body, "incarnation"));
-    report.voters = voters_from(answer.value().body["voters"]);
-    co_return report;
+    const auto& body = answer.value().body;
+    co_return decode_guarded("genesis report", [&] { return genesis_report_from(body); });
 }
 
 } // namespace papayabridge
--- a/src/papayakeeper/replicator.cpp
+++ b/src/papayakeeper/replicator.cpp
@@ -332,7 +332,7 @@
         return;
     }
     for (const auto& change : duties_.due_commands(applied_.state(), now)) {
-        consensus_->propose(command_text{to_json(to_value(change))});
+        propose_as_leader(change);
     }
     propose_departures(now);
 }
--- a/src/papayakeeper/replicator.hpp
+++ b/src/papayakeeper/replicator.hpp
@@ -101,6 +101,8 @@
     void fail_storage(const error& failure);
     void recover_storage();
     void wake_output_loop();
+    /// Proposes \p change without waiting for its outcome.
+    void propose_as_leader(const command& change);
     net::awaitable<result<proposal_outcome>> propose_locally(const std::string& text,
                                                              time_point deadline);
     net::awaitable<result<proposal_outcome>>
--- a/src/papayakeeper/replicator_genesis.cpp
+++ b/src/papayakeeper/replicator_genesis.cpp
@@ -108,7 +108,7 @@
     for (const auto& id : find_departed_keepers(known, leading_for)) {
         log_line(log_event::keeper_address_removed, {{"keeper", registered.at(id).rpc}});
         command change = register_keeper{.keeper = {.id = id}};
-        consensus_->propose(command_text{to_json(to_value(change))});
+        propose_as_leader(change);
     }
 }
 
--- a/src/papayakeeper/replicator_propose.cpp
+++ b/src/papayakeeper/replicator_propose.cpp
@@ -2,6 +2,7 @@
 
 #include "replicator.hpp"
 
+#include <papayabridge/daemon.hpp>
 #include <papayabridge/json.hpp>
 
 namespace papayabridge {
@@ -16,7 +17,11 @@
 net::awaitable<result<proposal_outcome>>
 replicator::propose(command change, time_point deadline, bool forwarded)
 {
-    auto text = to_json(to_value(change));
+    auto text = encode_command(change);
+    if (!text) {
+        log_line(log_event::command_refused, {{"detail", text.error().detail}});
+        co_return text.error();
+    }
     bool may_be_accepted = false;
     auto failure = fail(error_kind::no_quorum, "no leader is known");
     while (steady_clock::now() < deadline) {
@@ -26,7 +31,7 @@
         }
         auto leader = consensus_ ? consensus_->leader(steady_clock::now()) : keeper_id();
         if (leader == settings_.id) {
-            auto accepted = co_await propose_locally(text, deadline);
+            auto accepted = co_await propose_locally(text.value(), deadline);
             if (accepted) {
                 co_return accepted;
             }
@@ -86,6 +91,16 @@
                                              std::move(request), deadline));
 }
 
+void replicator::propose_as_leader(const command& change)
+{
+    auto text = encode_command(change);
+    if (!text) {
+        log_line(log_event::command_refused, {{"detail", text.error().detail}});
+        return;
+    }
+    consensus_->propose(command_text{std::move(text.value())});
+}
+
 net::awaitable<result<proposal_outcome>>
 replicator::propose_locally(const std::string& text, time_point deadline)
 {
--- a/src/papayakeeper/replicator_test.cpp
+++ b/src/papayakeeper/replicator_test.cpp
@@ -1,4 +1,5 @@
 #include "lone_keeper_test.hpp"
+#include "store/record.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -7,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <gtest/gtest.h>
+#include <papayabridge/json.hpp>
 
 namespace papayabridge {
 
@@ -22,6 +24,20 @@
     }
     ~replicator_test() override { std::filesystem::remove_all(folder); }
 
+    // Index of the last entry in the log file.
+    std::uint64_t read_last_index() const
+    {
+        std::ifstream file(folder + "/log", std::ios::binary);
+        std::string bytes{std::istreambuf_iterator<char>(file), {}};
+        std::uint64_t last = 0;
+        for (const auto& text : decode_records(bytes).payloads) {
+            for (const auto& entry : parse_json(text).value()["entries"]) {
+                last = number_of(entry, "index");
+            }
+        }
+        return last;
+    }
+
     std::string folder;
 };
 
@@ -118,6 +134,43 @@
                              [&](const auto& peer) { return peer.id == replaced; }));
 }
 
+// Such a record was written before it was refused; the keeper stayed out of its group
+// after each restart.
+TEST_F(replicator_test, log_with_a_record_that_is_no_text_is_read)
+{
+    {
+        lone_keeper alone(folder);
+        alone.start();
+        ASSERT_TRUE(alone.propose_configuration(0));
+    }
+    auto last = read_last_index();
+    Json::Value entry;
+    entry["index"] = Json::UInt64(last + 1);
+    entry["term"] = 1;
+    pooled_member odd{.run = {.id = member_id("i-other"), .started_ms = 1},
+                      .service = service_name("s"),
+                      .endpoint = "127.0.0.1:9",
+                      .domain = domain_name("a\x80"),
+                      .sequence = 1};
+    entry["command"] = to_json(to_value(command(report_member{.member = odd})));
+    Json::Value record;
+    record["entries"].append(entry);
+    {
+        std::ofstream log(folder + "/log", std::ios::app | std::ios::binary);
+        log << encode_record(to_json(record));
+    }
+    lone_keeper alone(folder);
+    alone.start();
+    EXPECT_FALSE(alone.has_storage_failure());
+    ASSERT_TRUE(alone.propose_configuration(1));
+    const auto* member = alone.keeper.applied().state().pool().member(odd.run.id);
+    ASSERT_NE(member, nullptr);
+    EXPECT_TRUE(is_utf8(member->domain.str()));
+    for (std::uint64_t base = 2; base < 20; ++base) {
+        ASSERT_TRUE(alone.propose_configuration(base));
+    }
+}
+
 TEST_F(replicator_test, damaged_log_keeps_keeper_out_of_group)
 {
     {
