A primary that answers was replaced past a replica that could not be stopped

Cause: safe_target took a replica as far as the primary for complete before it counted the replicas that were not stopped. The primary's position was up to half a second old, and a primary that leads goes on to acknowledge with the copy of any replica that receives, until the promotion takes effect. The planned change went on in the same case.

Change: a primary that answers steps down before it is replaced; the end of its log, which its answer holds, proves a replica complete. Otherwise fewer replicas than a commit needs copies may be unknown or not stopped. The planned change does the same if another replica may still acknowledge. Whether to keep, reaffirm, replace or plan is a table in core/promotion_plan.

The test replica_equal_to_primary_needs_no_other_answers demanded the faulty rule; two tests as strict replace it: a leading primary's position needs the other answers, that of one that has stepped down does not.

--- a/src/include/papayabridge/log.hpp
+++ b/src/include/papayabridge/log.hpp
@@ -90,6 +90,7 @@
     promotion_begun,
     promotion_compared,
     promotion_not_safe,
+    primary_stepped_down,
     promotion_step_not_accepted,
     promotion_answered,
     primary_changed,
--- a/src/include/papayabridge/statement_codec.hpp
+++ b/src/include/papayabridge/statement_codec.hpp
@@ -112,6 +112,8 @@
     /// Makes a replica stop receiving until it is resumed, promoted or restarted.
     virtual void encode_stop_receiving(std::string& out, term above_newest) const = 0;
     virtual void encode_resume_receiving(std::string& out) const = 0;
+    /// Makes a primary of a term below \p above_newest a replica.
+    virtual void encode_step_down(std::string& out, term above_newest) const = 0;
 };
 
 } // namespace papayabridge
--- a/src/libpapayabridge/core/promotion_plan.cpp
+++ b/src/libpapayabridge/core/promotion_plan.cpp
@@ -41,14 +41,15 @@
     return best;
 }
 
-const member_report* reported_primary(const promotion_input& input)
+// Whether the replica receives nothing more from the present primary.
+bool is_stopped(const promotion_input& input, const member_report& member)
 {
-    auto found = std::find_if(input.members.begin(), input.members.end(),
-                              [&](const member_report& member) {
-                                  return member.run.id == input.primary &&
-                                         member.status && member.status->is_primary;
-                              });
-    return found == input.members.end() ? nullptr : &*found;
+    return member.status && member.status->stopped_below >= input.stop_below;
+}
+
+unsigned required_copies(const promotion_input& input)
+{
+    return std::max(input.copies, 1U);
 }
 
 } // namespace
@@ -83,27 +84,65 @@
     return best == nullptr ? member_id() : best->run.id;
 }
 
-// At least `copies` replicas hold an acknowledged commit. If fewer than `copies` did not
-// answer, one that answered holds it, and so does the most advanced one. If the primary
-// answers, a replica that is as far as the primary holds everything in any case.
+// At least `copies` replicas hold an acknowledged commit. If fewer than `copies` were not
+// stopped, one that was stopped holds it, and so does the most advanced one; this holds
+// for later commits, too, as a stopped replica acknowledges none.
+bool replicas_suffice(const promotion_input& input)
+{
+    auto unknown = input.lost_holders;
+    for (const auto& member : input.members) {
+        if (is_replica(input, member) && !is_stopped(input, member)) {
+            ++unknown;
+        }
+    }
+    return unknown < required_copies(input);
+}
+
+// The position of a primary that still leads proves nothing: it may acknowledge more with
+// the copy of a replica that was not stopped.
 member_id safe_target(const promotion_input& input)
 {
     const auto* best = most_advanced_replica(input, true);
     if (best == nullptr) {
         return {};
     }
-    const auto* primary = reported_primary(input);
-    if (primary != nullptr && best->status->received >= primary->status->received) {
-        return best->run.id;
-    }
-    auto unanswered = input.lost_holders;
+    bool holds_all =
+        input.final_position && best->status->received >= *input.final_position;
+    return holds_all || replicas_suffice(input) ? best->run.id : member_id();
+}
+
+// A replica at whose address nobody listens cannot acknowledge anything.
+bool others_may_acknowledge(const promotion_input& input, const member_id& target)
+{
+    unsigned receiving = 0;
     for (const auto& member : input.members) {
-        if (is_replica(input, member) && !member.status) {
-            ++unanswered;
+        bool is_other = is_replica(input, member) && member.run.id != target;
+        if (is_other && !is_stopped(input, member) && !member.is_stopped) {
+            ++receiving;
         }
     }
-    bool all_commits_held = unanswered < std::max(input.copies, 1U);
-    return all_commits_held ? best->run.id : member_id();
+    return receiving >= required_copies(input);
+}
+
+std::optional<position> most_advanced_position(const promotion_input& input)
+{
+    const auto* best = most_advanced_replica(input, true);
+    return best == nullptr ? std::nullopt : std::optional(best->status->received);
+}
+
+promotion_kind choose_promotion_kind(const promotion_input& input, bool leaving,
+                                     bool lost)
+{
+    auto acting = self_reported_primary(input.members);
+    if (acting.empty()) {
+        return promotion_kind::replace_lost;
+    }
+    if (leaving) {
+        return promotion_kind::planned;
+    }
+    // Another member leads if an earlier order has taken effect.
+    bool keeps = acting != input.primary || !lost;
+    return keeps ? promotion_kind::reaffirm : promotion_kind::replace_leading;
 }
 
 bool should_replace_primary(probe_outcome probe, std::size_t complaining_entries,
--- a/src/libpapayabridge/core/promotion_plan.hpp
+++ b/src/libpapayabridge/core/promotion_plan.hpp
@@ -30,8 +30,27 @@
     unsigned copies = 0;
     /// Number of removed runs that may have been the only holders of a commit.
     unsigned lost_holders = 0;
+    /// Term below which the replicas were told not to receive; 0 before they were.
+    term stop_below;
+    /// The end of the primary's log, once it has given up its role: it acknowledges
+    /// nothing more.
+    std::optional<position> final_position;
 };
 
+/// How a promotion is prepared.
+enum class promotion_kind
+{
+    planned,         ///< The primary is leaving and serves until the change.
+    reaffirm,        ///< The member that leads stays; earlier orders become void.
+    replace_leading, ///< The primary leads, but most entries cannot use it.
+    replace_lost,    ///< No member leads.
+};
+
+/// How to prepare the promotion, given the members' first reports. \p leaving: the
+/// primary is leaving; \p lost: should_replace_primary() holds.
+promotion_kind choose_promotion_kind(const promotion_input& input, bool leaving,
+                                     bool lost);
+
 /// The member with the highest term that reports itself as primary. Empty if none does.
 member_id self_reported_primary(const std::vector<member_report>& members);
 /// The highest term that any member knows or has been stopped at.
@@ -42,6 +61,14 @@
 /// The member to promote once the replicas are stopped: one that holds every commit that
 /// may have been acknowledged. Empty if this is proven for no member.
 member_id safe_target(const promotion_input& input);
+/// Whether too few replicas are unknown or not stopped to hold, or to acknowledge, a
+/// commit that no other replica holds.
+bool replicas_suffice(const promotion_input& input);
+/// Whether the primary can acknowledge commits without \p target, although the other
+/// replicas were told to stop.
+bool others_may_acknowledge(const promotion_input& input, const member_id& target);
+/// The highest position of a replica. Empty if none answered.
+std::optional<position> most_advanced_position(const promotion_input& input);
 
 /// An entry's report that it cannot use a member.
 struct member_complaint
--- a/src/libpapayabridge/core/promotion_plan_test.cpp
+++ b/src/libpapayabridge/core/promotion_plan_test.cpp
@@ -45,16 +45,98 @@
     EXPECT_TRUE(safe_target(input).empty());
 }
 
-TEST(promotion_plan, replica_equal_to_primary_needs_no_other_answers)
+// The position of a primary that leads was read before the replicas were stopped. Commits
+// that it acknowledged later with the copy of a replica that could not be stopped were
+// lost.
+TEST(promotion_plan, replica_equal_to_leading_primary_needs_the_other_answers)
 {
     auto input = make_input(
         {make_report("p", 7, true), make_report("a", 7), make_report("b", {})});
-    EXPECT_EQ(safe_target(input), member_id("a"));
+    EXPECT_TRUE(safe_target(input).empty());
     input = make_input(
         {make_report("p", 8, true), make_report("a", 7), make_report("b", {})});
     EXPECT_TRUE(safe_target(input).empty());
 }
 
+TEST(promotion_plan, replica_that_holds_all_of_stepped_down_primary_needs_no_answers)
+{
+    auto input =
+        make_input({make_report("p", 7), make_report("a", 7), make_report("b", {})});
+    input.final_position = position{.term = term(1), .index = log_index(7)};
+    EXPECT_EQ(safe_target(input), member_id("a"));
+    input.final_position = position{.term = term(1), .index = log_index(8)};
+    EXPECT_TRUE(safe_target(input).empty());
+}
+
+TEST(promotion_plan, replica_that_did_not_stop_counts_as_unknown)
+{
+    auto input =
+        make_input({make_report("p", {}), make_report("a", 7), make_report("b", 9)});
+    input.stop_below = term(2);
+    input.members[1].status->stopped_below = term(2);
+    EXPECT_TRUE(safe_target(input).empty());
+    input.members[2].status->stopped_below = term(2);
+    EXPECT_EQ(safe_target(input), member_id("b"));
+}
+
+TEST(promotion_plan, planned_change_needs_all_others_stopped_or_gone)
+{
+    auto input = make_input(
+        {make_report("p", 9, true), make_report("a", 9), make_report("b", {})});
+    input.stop_below = term(2);
+    EXPECT_TRUE(others_may_acknowledge(input, member_id("a")));
+    input.members[2].is_stopped = true;
+    EXPECT_FALSE(others_may_acknowledge(input, member_id("a")));
+    input.members[2] = make_report("b", 9);
+    EXPECT_TRUE(others_may_acknowledge(input, member_id("a")));
+    input.members[2].status->stopped_below = term(2);
+    EXPECT_FALSE(others_may_acknowledge(input, member_id("a")));
+    input.members[2] = make_report("b", {});
+    input.copies = 2;
+    EXPECT_FALSE(others_may_acknowledge(input, member_id("a")));
+}
+
+TEST(promotion_plan, kind_follows_from_who_leads)
+{
+    struct row
+    {
+        std::vector<member_report> members;
+        bool leaving;
+        bool lost;
+        promotion_kind kind;
+    };
+    const row rows[] = {
+        {{make_report("p", {}), make_report("a", 7)},
+         false,
+         false,
+         promotion_kind::replace_lost},
+        {{make_report("p", 7), make_report("a", 7)},
+         true,
+         false,
+         promotion_kind::replace_lost},
+        {{make_report("p", 7, true), make_report("a", 7)},
+         true,
+         false,
+         promotion_kind::planned},
+        {{make_report("p", 7, true), make_report("a", 7)},
+         false,
+         false,
+         promotion_kind::reaffirm},
+        {{make_report("p", 7, true), make_report("a", 7)},
+         false,
+         true,
+         promotion_kind::replace_leading},
+        {{make_report("p", 7), make_report("a", 7, true)},
+         false,
+         true,
+         promotion_kind::reaffirm},
+    };
+    for (const auto& row : rows) {
+        EXPECT_EQ(choose_promotion_kind(make_input(row.members), row.leaving, row.lost),
+                  row.kind);
+    }
+}
+
 TEST(promotion_plan, leaving_member_is_not_planned_target)
 {
     auto leaving = make_report("b", 9);
--- a/src/libpapayabridge/session/statement_gate_test.cpp
+++ b/src/libpapayabridge/session/statement_gate_test.cpp
@@ -86,6 +86,7 @@
     void encode_status(std::string&) const override {}
     void encode_stop_receiving(std::string&, term) const override {}
     void encode_resume_receiving(std::string&) const override {}
+    void encode_step_down(std::string&, term) const override {}
 };
 
 struct gate_queue_fixture
--- a/src/papayakeeper/member_contact.cpp
+++ b/src/papayakeeper/member_contact.cpp
@@ -63,6 +63,14 @@
     co_await request_status(std::move(encode), deadline);
 }
 
+net::awaitable<void> member_contact::step_down(term below, time_point deadline)
+{
+    encoder encode = [this, below](std::string& out) {
+        codec_.encode_step_down(out, below);
+    };
+    co_await request_status(std::move(encode), deadline);
+}
+
 net::awaitable<void> member_contact::request_status(encoder encode, time_point deadline)
 {
     report_.status.reset();
--- a/src/papayakeeper/member_contact.hpp
+++ b/src/papayakeeper/member_contact.hpp
@@ -24,6 +24,9 @@
     /// Undoes stop_receiving().
     net::awaitable<void> resume_receiving(time_point deadline);
 
+    /// Makes a primary of a term below \p below a replica.
+    net::awaitable<void> step_down(term below, time_point deadline);
+
     bool is_open() const noexcept { return connection_ != nullptr; }
     /// The last known status; `status` is empty if the last request failed.
     const member_report& report() const noexcept { return report_; }
--- a/src/papayakeeper/promotion_attempt.cpp
+++ b/src/papayakeeper/promotion_attempt.cpp
@@ -27,6 +27,8 @@
 // How long a planned change waits for the target to catch up with the primary.
 constexpr std::chrono::milliseconds catch_up_timeout{400};
 constexpr std::chrono::milliseconds catch_up_poll_interval{15};
+// What a primary sent before it stepped down arrives within this time.
+constexpr std::chrono::milliseconds in_flight_time{100};
 
 } // namespace
 
@@ -78,26 +80,35 @@
     co_return contacts;
 }
 
-net::awaitable<void> promotion_controller::stop_receiving(contact_list& contacts,
-                                                          member_id primary,
-                                                          member_id target)
+promotion_input promotion_controller::build_promotion_input(const attempt& current)
 {
-    std::vector<member_report> reports;
-    for (const auto& contact : contacts) {
-        reports.push_back(contact->report());
+    promotion_input input{.primary = primary_of(current.name),
+                          .copies = synchronous_copies_of(current.name),
+                          .stop_below = current.stop_below,
+                          .final_position = current.final_position};
+    for (const auto& contact : current.contacts) {
+        input.members.push_back(contact->report());
     }
-    auto stop_below = highest_known_term(reports).next();
+    input.lost_holders =
+        static_cast<unsigned>(departures_[current.name].uncovered.size());
+    return input;
+}
+
+net::awaitable<void> promotion_controller::stop_receiving(attempt& current)
+{
+    auto input = build_promotion_input(current);
+    current.stop_below = highest_known_term(input.members).next();
     auto deadline = steady_clock::now() + reach_timeout;
-    contact_action stop = [=](member_contact& contact) -> net::awaitable<void> {
+    contact_action stop = [&, deadline](member_contact& contact) -> net::awaitable<void> {
         const auto& id = contact.report().run.id;
-        if (id != primary && id != target) {
-            co_await contact.stop_receiving(stop_below, deadline);
+        if (id != input.primary && id != current.receiving) {
+            co_await contact.stop_receiving(current.stop_below, deadline);
         }
     };
-    co_await run_on_each(contacts, std::move(stop));
+    co_await run_on_each(current.contacts, std::move(stop));
 }
 
-net::awaitable<void> promotion_controller::resume_receiving(contact_list& contacts)
+net::awaitable<void> promotion_controller::resume_receiving(attempt& current)
 {
     auto deadline = steady_clock::now() + reach_timeout;
     contact_action resume = [deadline](member_contact& contact) -> net::awaitable<void> {
@@ -107,35 +118,78 @@
             co_await contact.resume_receiving(deadline);
         }
     };
-    co_await run_on_each(contacts, std::move(resume));
+    co_await run_on_each(current.contacts, std::move(resume));
 }
 
-promotion_input promotion_controller::build_promotion_input(const service_name& name,
-                                                            const contact_list& contacts)
+net::awaitable<void> promotion_controller::step_down_primary(attempt& current)
 {
-    promotion_input input{.primary = primary_of(name),
-                          .copies = synchronous_copies_of(name)};
-    for (const auto& contact : contacts) {
-        input.members.push_back(contact->report());
+    auto input = build_promotion_input(current);
+    auto below = current.stop_below == term() ? highest_known_term(input.members).next()
+                                              : current.stop_below;
+    auto deadline = steady_clock::now() + reach_timeout;
+    for (auto& contact : current.contacts) {
+        if (contact->report().run.id != input.primary) {
+            continue;
+        }
+        co_await contact->step_down(below, deadline);
+        const auto& status = contact->report().status;
+        if (status && !status->is_primary) {
+            current.final_position = status->received;
+            log_line(log_event::primary_stepped_down,
+                     {{"service", current.name.str()},
+                      {"token", log_number(current.token.value())},
+                      {"member", input.primary.str()},
+                      {"received", status->received.str()}});
+        }
     }
-    input.lost_holders = static_cast<unsigned>(departures_[name].uncovered.size());
-    return input;
+}
+
+net::awaitable<bool>
+promotion_controller::wait_for_position(attempt& current, member_id target,
+                                        position needed,
+                                        std::chrono::milliseconds patience)
+{
+    auto deadline = steady_clock::now() + catch_up_timeout;
+    auto give_up = std::min(deadline, steady_clock::now() + patience);
+    auto primary = primary_of(current.name);
+    std::optional<position> reached;
+    while (steady_clock::now() < give_up) {
+        contact_action refresh = [&](member_contact& contact) -> net::awaitable<void> {
+            const auto& id = contact.report().run.id;
+            if (id != primary && (target.empty() || id == target)) {
+                co_await contact.refresh_status(deadline);
+            }
+        };
+        co_await run_on_each(current.contacts, std::move(refresh));
+        auto input = build_promotion_input(current);
+        std::erase_if(input.members, [&](const auto& member) {
+            return !target.empty() && member.run.id != target;
+        });
+        auto newest = most_advanced_position(input);
+        if (newest && *newest >= needed) {
+            co_return true;
+        }
+        if (newest > reached) {
+            reached = newest;
+            give_up = std::min(deadline, steady_clock::now() + patience);
+        }
+        co_await sleep_for(catch_up_poll_interval);
+    }
+    co_return false;
 }
 
 // An earlier promotion order may still be carried out. Ordering the promotion of the
 // current primary with a higher token prevents this and changes nothing else.
-net::awaitable<bool> promotion_controller::reaffirm_primary(service_name name,
-                                                            member_id primary,
-                                                            control_index token,
-                                                            contact_list& contacts)
+net::awaitable<bool> promotion_controller::reaffirm_primary(attempt& current,
+                                                            member_id primary)
 {
-    auto answer = co_await port_.promote(name, primary, holder_, token);
+    auto answer = co_await port_.promote(current.name, primary, holder_, current.token);
     if (answer != promotion_answer::accepted) {
         co_return false;
     }
-    co_await resume_receiving(contacts);
-    command change =
-        confirm_primary{.service = name, .fencing_token = token, .primary = primary};
+    co_await resume_receiving(current);
+    command change = confirm_primary{
+        .service = current.name, .fencing_token = current.token, .primary = primary};
     auto confirmed = co_await propose(std::move(change));
     co_return bool(confirmed);
 }
@@ -143,59 +197,119 @@
 // Only the target keeps receiving, so it holds every commit that is acknowledged from now
 // on, and the service keeps running during the promotion. Commits acknowledged earlier
 // are covered by the primary's position after the other replicas stopped: the target has
-// to reach it.
-net::awaitable<member_id>
-promotion_controller::prepare_planned_target(service_name name, contact_list& contacts,
-                                             member_id primary)
+// to reach it. If another replica could not be stopped, the primary has to step down,
+// because it can go on with the copy of that one.
+net::awaitable<member_id> promotion_controller::prepare_planned_target(attempt& current)
 {
-    auto target = planned_target(build_promotion_input(name, contacts));
+    auto input = build_promotion_input(current);
+    auto target = planned_target(input);
     if (target.empty()) {
         co_return target;
     }
-    co_await stop_receiving(contacts, primary, target);
-    auto deadline = steady_clock::now() + catch_up_timeout;
+    current.receiving = target;
+    co_await stop_receiving(current);
     std::optional<position> primary_position;
-    while (steady_clock::now() < deadline) {
-        for (auto& contact : contacts) {
-            const auto& id = contact->report().run.id;
-            if (id == target || (id == primary && !primary_position)) {
-                co_await contact->refresh_status(deadline);
+    for (auto& contact : current.contacts) {
+        if (contact->report().run.id == input.primary) {
+            co_await contact->refresh_status(steady_clock::now() + catch_up_timeout);
+            if (contact->report().status) {
+                primary_position = contact->report().status->received;
             }
         }
-        member_status target_status;
-        for (auto& contact : contacts) {
-            const auto& report = contact->report();
-            if (report.run.id == primary && report.status && !primary_position) {
-                primary_position = report.status->received;
-            }
-            if (report.run.id == target && report.status) {
-                target_status = *report.status;
-            }
+    }
+    bool caught_up = false;
+    if (primary_position) {
+        caught_up = co_await wait_for_position(current, target, *primary_position,
+                                               catch_up_timeout);
+    }
+    if (!caught_up) {
+        co_return member_id();
+    }
+    if (others_may_acknowledge(build_promotion_input(current), target)) {
+        co_await step_down_primary(current);
+        bool holds_all = false;
+        if (current.final_position) {
+            holds_all = co_await wait_for_position(
+                current, target, *current.final_position, catch_up_timeout);
         }
-        if (primary_position && target_status.received >= *primary_position) {
-            co_return target;
+        if (!holds_all) {
+            co_return member_id();
         }
-        co_await sleep_for(catch_up_poll_interval);
     }
-    co_return member_id();
+    co_return target;
+}
+
+// A primary that leads keeps acknowledging with the copies of replicas that cannot be
+// stopped or are not known yet, until the promotion takes effect. So it steps down first.
+net::awaitable<member_id> promotion_controller::prepare_replacement(attempt& current,
+                                                                    bool steps_down)
+{
+    if (steps_down) {
+        co_await step_down_primary(current);
+    }
+    if (current.final_position) {
+        member_id any_replica;
+        static_cast<void>(co_await wait_for_position(
+            current, any_replica, *current.final_position, in_flight_time));
+    }
+    co_await stop_receiving(current);
+    co_return safe_target(build_promotion_input(current));
+}
+
+net::awaitable<bool> promotion_controller::can_replace_leading(attempt& current)
+{
+    auto input = build_promotion_input(current);
+    if (replicas_suffice(input)) {
+        co_return true;
+    }
+    for (const auto& member : input.members) {
+        if (member.run.id == input.primary && member.status) {
+            member_id any_replica;
+            bool caught_up = co_await wait_for_position(
+                current, any_replica, member.status->received, in_flight_time);
+            co_return caught_up;
+        }
+    }
+    co_return false;
 }
 
 // Logs the member reports from which the next primary was chosen.
-void promotion_controller::log_comparison(const service_name& name, control_index token,
-                                          const contact_list& contacts)
+void promotion_controller::log_comparison(const attempt& current)
 {
-    for (const auto& contact : contacts) {
+    for (const auto& contact : current.contacts) {
         const auto& report = contact->report();
-        auto received = report.status ? report.status->received.str() : "unknown";
+        const auto& status = report.status;
         log_line(
             log_event::promotion_compared,
-            {{"service", name.str()},
-             {"token", log_number(token.value())},
+            {{"service", current.name.str()},
+             {"token", log_number(current.token.value())},
              {"member", report.run.id.str()},
-             {"received", received},
-             {"leads", report.status && report.status->is_primary ? "true" : "false"},
-             {"stopped", report.is_stopped ? "true" : "false"}});
+             {"received", status ? status->received.str() : "unknown"},
+             {"leads", status && status->is_primary ? "true" : "false"},
+             {"stopped", report.is_stopped ? "true" : "false"},
+             {"receives_from", status ? log_number(status->stopped_below.value()) : -1}});
+    }
+}
+
+void promotion_controller::log_not_safe(const attempt& current)
+{
+    log_line(log_event::promotion_not_safe,
+             {{"service", current.name.str()},
+              {"token", log_number(current.token.value())},
+              {"members", log_number(current.contacts.size())},
+              {"uncovered", log_number(departures_[current.name].uncovered.size())}});
+}
+
+net::awaitable<member_id> promotion_controller::prepare_target(attempt& current,
+                                                               promotion_kind kind)
+{
+    if (kind == promotion_kind::planned) {
+        auto target = co_await prepare_planned_target(current);
+        co_return target;
     }
+    bool steps_down = kind == promotion_kind::replace_leading;
+    auto target = co_await prepare_replacement(current, steps_down);
+    co_return target;
 }
 
 net::awaitable<void> promotion_controller::attempt_promotion(service_name name,
@@ -203,66 +317,65 @@
                                                              bool planned,
                                                              member_id silent)
 {
+    attempt current{.name = name};
+    current.contacts = co_await connect_members(name, silent);
+    auto input = build_promotion_input(current);
+    time_point complained_since = steady_clock::now();
+    auto complaints = count_complaints(name, input.primary, complained_since);
+    bool lost =
+        should_replace_primary(probe_outcome::primary, complaints, count_up_entries(),
+                               elapsed_since(complained_since));
+    auto kind = choose_promotion_kind(input, planned, lost);
+    bool can_replace = true;
+    if (kind == promotion_kind::replace_leading) {
+        can_replace = co_await can_replace_leading(current);
+    }
+    if (!can_replace) {
+        log_not_safe(current);
+        if (!is_pending(name)) {
+            co_return;
+        }
+        kind = promotion_kind::reaffirm;
+    }
     log_line(log_event::promotion_begun, {{"service", name.str()}, {"reason", reason}});
     command beginning = begin_promotion{.service = name, .reason = reason};
     auto begun = co_await propose(std::move(beginning));
     if (!begun) {
         co_return;
     }
-    auto token = begun.value();
-    auto contacts = co_await connect_members(name, silent);
-    auto input = build_promotion_input(name, contacts);
-    auto acting_primary = self_reported_primary(input.members);
-    member_id target;
-    if (planned && !acting_primary.empty()) {
-        target = co_await prepare_planned_target(name, contacts, acting_primary);
-    } else if (!acting_primary.empty() && acting_primary != input.primary) {
-        // An earlier order has taken effect.
-        static_cast<void>(
-            co_await reaffirm_primary(name, acting_primary, token, contacts));
+    current.token = begun.value();
+    if (kind == promotion_kind::reaffirm) {
+        auto acting_primary = self_reported_primary(input.members);
+        static_cast<void>(co_await reaffirm_primary(current, acting_primary));
         co_return;
-    } else {
-        time_point began = steady_clock::now();
-        auto count = count_complaints(name, input.primary, began);
-        auto probe =
-            acting_primary.empty() ? probe_outcome::no_answer : probe_outcome::primary;
-        bool lost = should_replace_primary(probe, count, count_up_entries(),
-                                           elapsed_since(began));
-        if (!acting_primary.empty() && !lost) {
-            static_cast<void>(
-                co_await reaffirm_primary(name, acting_primary, token, contacts));
-            co_return;
-        }
-        member_id no_target;
-        co_await stop_receiving(contacts, input.primary, no_target);
-        target = safe_target(build_promotion_input(name, contacts));
     }
-    log_comparison(name, token, contacts);
+    auto target = co_await prepare_target(current, kind);
+    log_comparison(current);
     if (target.empty()) {
-        log_line(log_event::promotion_not_safe,
-                 {{"service", name.str()},
-                  {"token", log_number(token.value())},
-                  {"members", log_number(contacts.size())},
-                  {"uncovered", log_number(departures_[name].uncovered.size())}});
-        co_await resume_receiving(contacts);
+        log_not_safe(current);
+        if (current.final_position) {
+            // It holds every commit; without it there is no primary.
+            static_cast<void>(co_await reaffirm_primary(current, input.primary));
+        }
+        co_await resume_receiving(current);
         co_return;
     }
     command choice =
-        choose_target{.service = name, .fencing_token = token, .target = target};
+        choose_target{.service = name, .fencing_token = current.token, .target = target};
     auto chosen = co_await propose(std::move(choice));
     if (chosen && is_leading()) {
-        co_await order_promotion(name, target, token);
+        co_await order_promotion(current, target);
     }
 }
 
-net::awaitable<void> promotion_controller::order_promotion(service_name name,
-                                                           member_id target,
-                                                           control_index token)
+net::awaitable<void> promotion_controller::order_promotion(attempt& current,
+                                                           member_id target)
 {
-    auto answer = co_await port_.promote(name, target, holder_, token);
+    const auto& name = current.name;
+    auto answer = co_await port_.promote(name, target, holder_, current.token);
     while (answer == promotion_answer::throttled && is_leading()) {
         co_await sleep_for(throttle_retry_interval);
-        answer = co_await port_.promote(name, target, holder_, token);
+        answer = co_await port_.promote(name, target, holder_, current.token);
     }
     if (answer != promotion_answer::accepted && answer != promotion_answer::unclear) {
         co_return;
@@ -280,7 +393,7 @@
     while (is_leading() && elapsed_since(began) < limit) {
         auto* due_contact =
             elapsed_since(began) < takeover_query_delay ? nullptr : &contact;
-        if (co_await has_taken_over(name, target, token, due_contact)) {
+        if (co_await has_taken_over(current, target, due_contact)) {
             departures_[name].uncovered.clear();
             metrics::process()
                 .latency_of("papaya_promotion_seconds", {{"service", name.str()}})
@@ -288,7 +401,7 @@
             log_line(log_event::primary_changed,
                      {{"service", name.str()},
                       {"member", target.str()},
-                      {"token", log_number(token.value())},
+                      {"token", log_number(current.token.value())},
                       {"took_us", log_us(elapsed_since(began))}});
             co_return;
         }
@@ -296,13 +409,12 @@
     }
 }
 
-net::awaitable<bool> promotion_controller::has_taken_over(service_name name,
+net::awaitable<bool> promotion_controller::has_taken_over(const attempt& current,
                                                           member_id target,
-                                                          control_index token,
                                                           member_contact* contact)
 {
     const auto& services = replicated_.applied().state().pool().services();
-    auto found = services.find(name);
+    auto found = services.find(current.name);
     if (found == services.end() || !found->second.pending) {
         co_return found != services.end() && found->second.primary == target;
     }
@@ -319,8 +431,8 @@
     if (!status || !status->is_primary) {
         co_return false;
     }
-    command change =
-        confirm_primary{.service = name, .fencing_token = token, .primary = target};
+    command change = confirm_primary{
+        .service = current.name, .fencing_token = current.token, .primary = target};
     auto confirmed = co_await propose(std::move(change));
     co_return bool(confirmed);
 }
@@ -331,8 +443,10 @@
 {
     auto departed = departures_[name].uncovered;
     member_id none_excluded;
-    auto contacts = co_await connect_members(name, none_excluded);
-    auto input = build_promotion_input(name, contacts);
+    attempt current{.name = name};
+    current.contacts = co_await connect_members(name, none_excluded);
+    auto& contacts = current.contacts;
+    auto input = build_promotion_input(current);
     const member_status* primary = nullptr;
     for (const auto& member : input.members) {
         bool leads = member.status && member.status->is_primary;
--- a/src/papayakeeper/promotion_controller.cpp
+++ b/src/papayakeeper/promotion_controller.cpp
@@ -92,6 +92,13 @@
     return found == services.end() ? member_id() : found->second.primary;
 }
 
+bool promotion_controller::is_pending(const service_name& name) const
+{
+    const auto& services = replicated_.applied().state().pool().services();
+    auto found = services.find(name);
+    return found != services.end() && found->second.pending;
+}
+
 void promotion_controller::record_trouble(const member_failure& failure)
 {
     auto now = steady_clock::now();
--- a/src/papayakeeper/promotion_controller.hpp
+++ b/src/papayakeeper/promotion_controller.hpp
@@ -44,6 +44,19 @@
     };
     using contact_list = std::vector<std::unique_ptr<member_contact>>;
     using contact_action = std::function<net::awaitable<void>(member_contact&)>;
+    /// The state of one attempt.
+    struct attempt
+    {
+        service_name name;
+        contact_list contacts;
+        /// 0 until the keepers accepted the beginning of the attempt.
+        control_index token;
+        /// See promotion_input.
+        term stop_below;
+        std::optional<position> final_position;
+        /// The only replica that may receive during a planned change.
+        member_id receiving;
+    };
 
     net::awaitable<void> run();
     void check_service(const service_name& name, const pooled_service& service);
@@ -62,24 +75,33 @@
                                               member_id& silent);
     net::awaitable<void> attempt_promotion(service_name name, std::string reason,
                                            bool planned, member_id silent);
-    static void log_comparison(const service_name& name, control_index token,
-                               const contact_list& contacts);
+    /// Prepares the change; returns the member to promote, or an empty id if none is
+    /// safe.
+    net::awaitable<member_id> prepare_target(attempt& current, promotion_kind kind);
+    net::awaitable<member_id> prepare_planned_target(attempt& current);
+    net::awaitable<member_id> prepare_replacement(attempt& current, bool steps_down);
+    /// Whether a safe target is likely once a primary that leads has stepped down.
+    net::awaitable<bool> can_replace_leading(attempt& current);
+    void log_not_safe(const attempt& current);
+    static void log_comparison(const attempt& current);
     net::awaitable<contact_list> connect_members(service_name name, member_id excluded);
     net::awaitable<void> run_on_each(contact_list& contacts, contact_action action);
-    net::awaitable<void> stop_receiving(contact_list& contacts, member_id primary,
-                                        member_id target);
-    net::awaitable<void> resume_receiving(contact_list& contacts);
-    net::awaitable<bool> reaffirm_primary(service_name name, member_id primary,
-                                          control_index token, contact_list& contacts);
-    net::awaitable<member_id>
-    prepare_planned_target(service_name name, contact_list& contacts, member_id primary);
-    net::awaitable<void> order_promotion(service_name name, member_id target,
-                                         control_index token);
-    net::awaitable<bool> has_taken_over(service_name name, member_id target,
-                                        control_index token, member_contact* contact);
+    net::awaitable<void> stop_receiving(attempt& current);
+    net::awaitable<void> resume_receiving(attempt& current);
+    /// Makes the primary a replica and records where its log ends.
+    net::awaitable<void> step_down_primary(attempt& current);
+    /// Waits until \p target, or any replica if it is empty, has received \p needed.
+    /// Gives up after \p patience without progress.
+    net::awaitable<bool> wait_for_position(attempt& current, member_id target,
+                                           position needed,
+                                           std::chrono::milliseconds patience);
+    net::awaitable<bool> reaffirm_primary(attempt& current, member_id primary);
+    net::awaitable<void> order_promotion(attempt& current, member_id target);
+    net::awaitable<bool> has_taken_over(const attempt& current, member_id target,
+                                        member_contact* contact);
     net::awaitable<void> check_coverage(service_name name);
-    promotion_input build_promotion_input(const service_name& name,
-                                          const contact_list& contacts);
+    promotion_input build_promotion_input(const attempt& current);
+    bool is_pending(const service_name& name) const;
     member_id primary_of(const service_name& name) const;
     net::awaitable<result<control_index>> propose(command change);
     net::awaitable<void> sleep_for(std::chrono::milliseconds time);
