A replica that starts during a promotion acknowledged for the former primary

Cause: the members were listed once, at the start of an attempt; a promotion takes 0.6 s to take effect. In a planned change it serves until the end, so replicas that are reported meanwhile are stopped, before the order and until the takeover; a restarted member is asked as a new one.

Ruled out: a late report of a known member (the runs differ).

--- a/src/papayakeeper/promotion_attempt.cpp
+++ b/src/papayakeeper/promotion_attempt.cpp
@@ -108,6 +108,41 @@
     co_await run_on_each(current.contacts, std::move(stop));
 }
 
+// A replica that starts during the attempt receives, and the primary counts its copy.
+net::awaitable<void> promotion_controller::stop_new_members(attempt& current)
+{
+    contact_list arrived;
+    for (const auto* member :
+         replicated_.applied().state().pool().members_of(current.name)) {
+        bool is_known = std::any_of(
+            current.contacts.begin(), current.contacts.end(),
+            [&](const auto& contact) { return contact->report().run == member->run; });
+        if (!is_known) {
+            arrived.push_back(
+                std::make_unique<member_contact>(executor_, codec_, *member));
+        }
+    }
+    if (arrived.empty()) {
+        co_return;
+    }
+    auto deadline = steady_clock::now() + reach_timeout;
+    contact_action stop = [&, deadline](member_contact& contact) -> net::awaitable<void> {
+        co_await contact.connect(deadline);
+        co_await contact.stop_receiving(current.stop_below, deadline);
+    };
+    co_await run_on_each(arrived, std::move(stop));
+    for (auto& contact : arrived) {
+        const auto& id = contact->report().run.id;
+        auto is_same_member = [&](const auto& known) {
+            return known->report().run.id == id;
+        };
+        current.contacts.erase(std::remove_if(current.contacts.begin(),
+                                              current.contacts.end(), is_same_member),
+                               current.contacts.end());
+        current.contacts.push_back(std::move(contact));
+    }
+}
+
 net::awaitable<void> promotion_controller::resume_receiving(attempt& current)
 {
     auto deadline = steady_clock::now() + reach_timeout;
@@ -225,6 +260,7 @@
     if (!caught_up) {
         co_return member_id();
     }
+    co_await stop_new_members(current);
     if (others_may_acknowledge(build_promotion_input(current), target)) {
         co_await step_down_primary(current);
         bool holds_all = false;
@@ -253,6 +289,7 @@
             current, any_replica, *current.final_position, in_flight_time));
     }
     co_await stop_receiving(current);
+    co_await stop_new_members(current);
     co_return safe_target(build_promotion_input(current));
 }
 
@@ -405,6 +442,7 @@
                       {"took_us", log_us(elapsed_since(began))}});
             co_return;
         }
+        co_await stop_new_members(current);
         co_await sleep_for(takeover_poll_interval);
     }
 }
--- a/src/papayakeeper/promotion_controller.hpp
+++ b/src/papayakeeper/promotion_controller.hpp
@@ -87,6 +87,8 @@
     net::awaitable<contact_list> connect_members(service_name name, member_id excluded);
     net::awaitable<void> run_on_each(contact_list& contacts, contact_action action);
     net::awaitable<void> stop_receiving(attempt& current);
+    /// Stops replicas that were reported since the attempt began.
+    net::awaitable<void> stop_new_members(attempt& current);
     net::awaitable<void> resume_receiving(attempt& current);
     /// Makes the primary a replica and records where its log ends.
     net::awaitable<void> step_down_primary(attempt& current);
