A new leader did not know that the only copy of commits had left

Cause: the runs that had left while they might hold the only copy of a commit were memory of the leading keeper, cleared with its lead; one that ended while nobody led was seen by no one.

Ruled out: an order of the former leader (none was sent).

Change: departures are part of the replicated state, recorded by the commands that remove a replica, report a new run of it or give its address away, and dropped by a mark on remove_member once the leader has proved them covered, or by a promotion that began later. Earlier versions read the new field and records as nothing. Beside it: a DELETE is not taken for the end of the member any more (its address is asked); the end of the primary is no lost copy; a departure is covered by as many replicas as a commit needs copies instead of by all.

--- a/src/include/papayabridge/pool_state.hpp
+++ b/src/include/papayabridge/pool_state.hpp
@@ -43,6 +43,17 @@
     std::uint64_t sequence = 0;
 };
 
+/// A run of a replica that has ended and may have been the only holder of a commit.
+struct departed_member
+{
+    service_name service;
+    /// "address:port" at which it listened. A member whose removal was not confirmed to
+    /// it runs on there for some seconds.
+    std::string endpoint;
+    /// Index of the command that removed it.
+    control_index since;
+};
+
 /// A promotion that has begun and is not confirmed.
 struct promotion
 {
@@ -115,6 +126,9 @@
 struct remove_member
 {
     member_run run;
+    /// Whether every commit that the run may have held alone is held by other replicas.
+    /// Earlier versions ignore it.
+    bool is_covered = false;
 };
 
 /// Begins a promotion. The index of the command in the log is the fencing token.
@@ -176,6 +190,13 @@
     {
         return services_;
     }
+    /// Runs that have ended and are not covered yet.
+    const std::map<member_run, departed_member>& departed() const noexcept
+    {
+        return departed_;
+    }
+    /// The departed runs of \p service.
+    std::vector<member_run> departed_of(const service_name& service) const;
     /// Member \p id, or null.
     const pooled_member* member(const member_id& id) const;
     /// The members of \p service.
@@ -191,7 +212,10 @@
 
 private:
     void set_primary(const service_name& service, const member_id& primary);
-    void remove_replaced_members(const pooled_member& arrived);
+    void set_promoted_primary(pooled_service& service, const service_name& name,
+                              const member_id& primary);
+    void remove_replaced_members(control_index index, const pooled_member& arrived);
+    void record_departure(control_index index, const pooled_member& gone);
 
     published_configuration configuration_;
     std::map<keeper_id, keeper_record> keepers_;
@@ -200,6 +224,7 @@
     // The last removed run of each member, so that a delayed announcement does not add
     // the member again.
     std::map<member_id, std::uint64_t> removed_;
+    std::map<member_run, departed_member> departed_;
 };
 
 } // namespace papayabridge
--- a/src/libpapayabridge/core/pool_codec.cpp
+++ b/src/libpapayabridge/core/pool_codec.cpp
@@ -156,6 +156,9 @@
     auto value = named("remove_member");
     value["id"] = change.run.id.str();
     value["started_ms"] = number(change.run.started_ms);
+    if (change.is_covered) {
+        value["covered"] = true;
+    }
     return value;
 }
 
@@ -207,7 +210,7 @@
 
 remove_member remove_member_from(const Json::Value& value)
 {
-    return {.run = run_from(value)};
+    return {.run = run_from(value), .is_covered = flag_of(value, "covered")};
 }
 
 begin_promotion begin_promotion_from(const Json::Value& value)
@@ -251,6 +254,16 @@
     for (const auto& [id, started_ms] : removed_) {
         value["removed"][id.str()] = number(started_ms);
     }
+    value["departed"] = Json::Value(Json::arrayValue);
+    for (const auto& [run, departure] : departed_) {
+        Json::Value item;
+        item["id"] = run.id.str();
+        item["started_ms"] = number(run.started_ms);
+        item["service"] = departure.service.str();
+        item["endpoint"] = departure.endpoint;
+        item["since"] = number(departure.since.value());
+        value["departed"].append(std::move(item));
+    }
     return value;
 }
 
@@ -276,6 +289,13 @@
     for (auto run = removed.begin(); run != removed.end(); ++run) {
         state.removed_[member_id(run.name())] = run->isUInt64() ? run->asUInt64() : 0;
     }
+    // Earlier versions did not keep them.
+    for (const auto& item : value["departed"]) {
+        state.departed_[run_from(item)] = {
+            .service = service_name(text_of(item, "service")),
+            .endpoint = text_of(item, "endpoint"),
+            .since = control_index(number_of(item, "since"))};
+    }
     return state;
 }
 
--- a/src/libpapayabridge/core/pool_state.cpp
+++ b/src/libpapayabridge/core/pool_state.cpp
@@ -10,6 +10,9 @@
 // Number of removed runs that are remembered. Beyond it, the run that started first is
 // forgotten.
 constexpr std::size_t max_removed_runs = 1000;
+// Number of departed runs that are remembered. Beyond it, the one that left first is
+// forgotten.
+constexpr std::size_t max_departed_runs = 1000;
 
 } // namespace
 
@@ -31,6 +34,17 @@
     return found;
 }
 
+std::vector<member_run> pool_state::departed_of(const service_name& service) const
+{
+    std::vector<member_run> runs;
+    for (const auto& [run, departure] : departed_) {
+        if (departure.service == service) {
+            runs.push_back(run);
+        }
+    }
+    return runs;
+}
+
 bool pool_state::is_removed(const member_run& run) const
 {
     auto found = removed_.find(run.id);
@@ -82,7 +96,8 @@
 }
 
 // Two members cannot listen at the same address, so the one that started earlier is gone.
-void pool_state::remove_replaced_members(const pooled_member& arrived)
+void pool_state::remove_replaced_members(control_index index,
+                                         const pooled_member& arrived)
 {
     for (auto member = members_.begin(); member != members_.end();) {
         const auto& other = member->second;
@@ -91,11 +106,46 @@
                            other.run.started_ms < arrived.run.started_ms;
         if (is_replaced) {
             removed_[other.run.id] = other.run.started_ms;
+            record_departure(index, other);
         }
         member = is_replaced ? members_.erase(member) : std::next(member);
     }
 }
 
+// The copies of a commit are counted among the replicas, so the end of the primary itself
+// takes none away.
+void pool_state::record_departure(control_index index, const pooled_member& gone)
+{
+    auto found = services_.find(gone.service);
+    bool is_replica = found != services_.end() && !found->second.primary.empty() &&
+                      found->second.primary != gone.run.id;
+    if (!is_replica) {
+        return;
+    }
+    departed_[gone.run] = {
+        .service = gone.service, .endpoint = gone.endpoint, .since = index};
+    if (departed_.size() > max_departed_runs) {
+        departed_.erase(std::min_element(departed_.begin(), departed_.end(),
+                                         [](const auto& a, const auto& b) {
+                                             return a.second.since < b.second.since;
+                                         }));
+    }
+}
+
+// The target was chosen among the replicas that remained, so from now on the service's
+// log holds what they held. A replica that left after the attempt began may have received
+// from the new primary already.
+void pool_state::set_promoted_primary(pooled_service& service, const service_name& name,
+                                      const member_id& primary)
+{
+    auto began = service.pending->fencing_token;
+    std::erase_if(departed_, [&](const auto& departed) {
+        return departed.second.service == name && departed.second.since < began;
+    });
+    service.pending.reset();
+    set_primary(name, primary);
+}
+
 void pool_state::set_primary(const service_name& service, const member_id& primary)
 {
     auto& record = services_[service];
@@ -105,13 +155,17 @@
     }
 }
 
-void pool_state::apply(control_index, const report_member& change)
+void pool_state::apply(control_index index, const report_member& change)
 {
     const auto& reported = change.member;
     if (!is_update(reported)) {
         return;
     }
-    remove_replaced_members(reported);
+    const auto* known = member(reported.run.id);
+    if (known != nullptr && known->run != reported.run) {
+        record_departure(index, *known);
+    }
+    remove_replaced_members(index, reported);
     members_[reported.run.id] = reported;
     auto& service = services_[reported.service];
     if (!reported.claims_primary) {
@@ -119,18 +173,23 @@
     }
     bool promoted = service.pending && service.pending->target == reported.run.id;
     bool vacant = service.primary.empty() || member(service.primary) == nullptr;
-    if (promoted || (vacant && !service.pending)) {
+    if (promoted) {
+        set_promoted_primary(service, reported.service, reported.run.id);
+    } else if (vacant && !service.pending) {
         set_primary(reported.service, reported.run.id);
-        service.pending.reset();
     }
 }
 
-void pool_state::apply(control_index, const remove_member& change)
+void pool_state::apply(control_index index, const remove_member& change)
 {
     const auto* known = member(change.run.id);
     if (known != nullptr && known->run.started_ms <= change.run.started_ms) {
+        record_departure(index, *known);
         members_.erase(change.run.id);
     }
+    if (change.is_covered) {
+        departed_.erase(change.run);
+    }
     auto& removed = removed_[change.run.id];
     removed = std::max(removed, change.run.started_ms);
     if (removed_.size() > max_removed_runs) {
@@ -162,6 +221,11 @@
     if (pending != change.fencing_token) {
         return;
     }
+    bool promoted = service.pending && service.pending->target == change.primary;
+    if (promoted) {
+        set_promoted_primary(service, change.service, change.primary);
+        return;
+    }
     service.pending.reset();
     set_primary(change.service, change.primary);
 }
--- a/src/libpapayabridge/core/pool_state_test.cpp
+++ b/src/libpapayabridge/core/pool_state_test.cpp
@@ -164,4 +164,97 @@
               member_id("m2"));
 }
 
+namespace {
+
+// A service with primary "m1" and replicas "m2" and "m3".
+replicated_state three_members()
+{
+    replicated_state origin;
+    origin.apply(report_member{primary_claim("m1", 1)});
+    origin.apply(report_member{announcement("m2", 1)});
+    origin.apply(report_member{announcement("m3", 1)});
+    return origin;
+}
+
+const service_name service_id("s");
+
+} // namespace
+
+// A new leader did not know of a replica that had left with the only copy of commits, and
+// promoted another one.
+TEST(pool_state, departed_replica_is_known_until_it_is_covered)
+{
+    auto origin = three_members();
+    member_run left{.id = member_id("m3"), .started_ms = 100};
+    origin.apply(remove_member{.run = left});
+    ASSERT_EQ(origin.pool().departed_of(service_id), std::vector<member_run>{left});
+    EXPECT_EQ(origin.pool().departed().at(left).endpoint, "10.0.0.3:80");
+    auto restored = pool_state::from_snapshot(origin.pool().snapshot());
+    EXPECT_EQ(restored.departed_of(service_id), std::vector<member_run>{left});
+    EXPECT_EQ(restored.departed().at(left).since,
+              origin.pool().departed().at(left).since);
+    origin.apply(remove_member{.run = left, .is_covered = true});
+    EXPECT_TRUE(origin.pool().departed().empty());
+}
+
+TEST(pool_state, replica_that_is_born_anew_or_replaced_has_departed)
+{
+    auto origin = three_members();
+    origin.apply(report_member{announcement("m2", 1, 200)});
+    EXPECT_EQ(origin.pool().departed_of(service_id).size(), 1U);
+    auto newer = announcement("m4", 1, 300);
+    newer.endpoint = "10.0.0.3:80";
+    origin.apply(report_member{newer});
+    EXPECT_EQ(origin.pool().departed_of(service_id).size(), 2U);
+    origin.apply(remove_member{.run = {.id = member_id("m2"), .started_ms = 100},
+                               .is_covered = true});
+    EXPECT_EQ(origin.pool().departed_of(service_id).size(), 1U);
+    EXPECT_NE(origin.pool().member(member_id("m2")), nullptr);
+}
+
+TEST(pool_state, primary_that_leaves_is_no_departed_replica)
+{
+    auto origin = three_members();
+    origin.apply(remove_member{.run = {.id = member_id("m1"), .started_ms = 100}});
+    EXPECT_TRUE(origin.pool().departed().empty());
+}
+
+TEST(pool_state, promotion_covers_replicas_that_left_before_it_began)
+{
+    auto origin = three_members();
+    origin.apply(remove_member{.run = {.id = member_id("m3"), .started_ms = 100}});
+    origin.apply(begin_promotion{.service = service_id});
+    auto token = control_index(origin.index);
+    origin.apply(report_member{announcement("m4", 1)});
+    origin.apply(choose_target{
+        .service = service_id, .fencing_token = token, .target = member_id("m2")});
+    origin.apply(remove_member{.run = {.id = member_id("m4"), .started_ms = 100}});
+    origin.apply(confirm_primary{
+        .service = service_id, .fencing_token = token, .primary = member_id("m2")});
+    ASSERT_EQ(origin.pool().departed_of(service_id).size(), 1U);
+    EXPECT_EQ(origin.pool().departed_of(service_id).front().id, member_id("m4"));
+}
+
+// The service keeps its primary and with it the commits that only the departed held.
+TEST(pool_state, reaffirmed_primary_covers_nothing)
+{
+    auto origin = three_members();
+    origin.apply(remove_member{.run = {.id = member_id("m3"), .started_ms = 100}});
+    origin.apply(begin_promotion{.service = service_id});
+    origin.apply(confirm_primary{.service = service_id,
+                                 .fencing_token = control_index(origin.index),
+                                 .primary = member_id("m1")});
+    EXPECT_EQ(origin.pool().departed_of(service_id).size(), 1U);
+}
+
+TEST(pool_state, snapshot_of_an_earlier_version_has_no_departed_members)
+{
+    auto origin = three_members();
+    auto snapshot = origin.pool().snapshot();
+    snapshot.removeMember("departed");
+    auto restored = pool_state::from_snapshot(snapshot);
+    EXPECT_TRUE(restored.departed().empty());
+    EXPECT_EQ(restored.members().size(), 3U);
+}
+
 } // namespace papayabridge
--- a/src/libpapayabridge/core/promotion_plan.cpp
+++ b/src/libpapayabridge/core/promotion_plan.cpp
@@ -124,6 +124,24 @@
     return receiving >= required_copies(input);
 }
 
+bool covers_departures(const promotion_input& input)
+{
+    auto primary = std::find_if(input.members.begin(), input.members.end(),
+                                [&](const member_report& member) {
+                                    return !is_replica(input, member) && member.status &&
+                                           member.status->is_primary;
+                                });
+    if (primary == input.members.end()) {
+        return false;
+    }
+    auto holders = std::count_if(
+        input.members.begin(), input.members.end(), [&](const member_report& member) {
+            return is_replica(input, member) && member.status &&
+                   member.status->received >= primary->status->received;
+        });
+    return static_cast<std::size_t>(holders) >= required_copies(input);
+}
+
 std::optional<position> most_advanced_position(const promotion_input& input)
 {
     const auto* best = most_advanced_replica(input, true);
--- a/src/libpapayabridge/core/promotion_plan.hpp
+++ b/src/libpapayabridge/core/promotion_plan.hpp
@@ -67,6 +67,10 @@
 /// Whether the primary can acknowledge commits without \p target, although the other
 /// replicas were told to stop.
 bool others_may_acknowledge(const promotion_input& input, const member_id& target);
+/// Whether enough replicas have reached the position that the primary reports, so that no
+/// acknowledged commit depends on a replica that had ended before. False if it does not
+/// lead.
+bool covers_departures(const promotion_input& input);
 /// The highest position of a replica. Empty if none answered.
 std::optional<position> most_advanced_position(const promotion_input& input);
 
--- a/src/libpapayabridge/core/promotion_plan_test.cpp
+++ b/src/libpapayabridge/core/promotion_plan_test.cpp
@@ -137,6 +137,18 @@
     }
 }
 
+TEST(promotion_plan, departures_are_covered_by_as_many_replicas_as_a_commit_needs)
+{
+    EXPECT_TRUE(covers_departures(make_input(
+        {make_report("p", 9, true), make_report("a", 9), make_report("b", {})})));
+    EXPECT_FALSE(covers_departures(make_input(
+        {make_report("p", 9, true), make_report("a", 8), make_report("b", {})})));
+    EXPECT_FALSE(
+        covers_departures(make_input({make_report("p", 9), make_report("a", 9)})));
+    EXPECT_FALSE(covers_departures(make_input(
+        {make_report("p", 9, true), make_report("a", 9), make_report("b", 8)}, 2)));
+}
+
 TEST(promotion_plan, leaving_member_is_not_planned_target)
 {
     auto leaving = make_report("b", 9);
--- a/src/papayakeeper/promotion_attempt.cpp
+++ b/src/papayakeeper/promotion_attempt.cpp
@@ -27,6 +27,8 @@
 // How long a planned change waits for the target to catch up with the primary.
 constexpr std::chrono::milliseconds catch_up_timeout{400};
 constexpr std::chrono::milliseconds catch_up_poll_interval{15};
+// Longer than a member runs on after its DELETE, which it then ends without an answer.
+constexpr std::chrono::seconds departure_linger{8};
 // What a primary sent before it stepped down arrives within this time.
 constexpr std::chrono::milliseconds in_flight_time{100};
 
@@ -89,8 +91,7 @@
     for (const auto& contact : current.contacts) {
         input.members.push_back(contact->report());
     }
-    input.lost_holders =
-        static_cast<unsigned>(departures_[current.name].uncovered.size());
+    input.lost_holders = static_cast<unsigned>(count_departed(current.name));
     return input;
 }
 
@@ -334,7 +335,7 @@
              {{"service", current.name.str()},
               {"token", log_number(current.token.value())},
               {"members", log_number(current.contacts.size())},
-              {"uncovered", log_number(departures_[current.name].uncovered.size())}});
+              {"uncovered", log_number(count_departed(current.name))}});
 }
 
 net::awaitable<member_id> promotion_controller::prepare_target(attempt& current,
@@ -431,7 +432,6 @@
         auto* due_contact =
             elapsed_since(began) < takeover_query_delay ? nullptr : &contact;
         if (co_await has_taken_over(current, target, due_contact)) {
-            departures_[name].uncovered.clear();
             metrics::process()
                 .latency_of("papaya_promotion_seconds", {{"service", name.str()}})
                 .record(steady_clock::now() - began);
@@ -475,36 +475,69 @@
     co_return bool(confirmed);
 }
 
-// Once every replica has reached a position that the primary had after the departures, no
-// acknowledged commit depends on the departed members.
+// A member that got no answer to its DELETE runs on for some seconds, receives, and
+// counts for acknowledgements. One that cannot be reached has ended after
+// `departure_linger`.
+net::awaitable<std::vector<member_run>>
+promotion_controller::find_ended_runs(service_name name)
+{
+    contact_list contacts;
+    for (const auto& [run, departure] : replicated_.applied().state().pool().departed()) {
+        if (departure.service == name) {
+            pooled_member gone{
+                .run = run, .service = name, .endpoint = departure.endpoint};
+            contacts.push_back(std::make_unique<member_contact>(executor_, codec_, gone));
+        }
+    }
+    auto deadline = steady_clock::now() + reach_timeout;
+    contact_action connect = [deadline](member_contact& contact) -> net::awaitable<void> {
+        co_await contact.connect(deadline);
+    };
+    co_await run_on_each(contacts, std::move(connect));
+    // Another member listens at its address.
+    auto is_replaced = [&](const member_run& run) {
+        const auto& pool = replicated_.applied().state().pool();
+        auto found = pool.departed().find(run);
+        return found != pool.departed().end() &&
+               std::any_of(pool.members().begin(), pool.members().end(),
+                           [&](const auto& known) {
+                               return known.second.endpoint == found->second.endpoint &&
+                                      known.second.run != run;
+                           });
+    };
+    auto now = steady_clock::now();
+    std::vector<member_run> ended;
+    for (const auto& contact : contacts) {
+        const auto& report = contact->report();
+        auto seen_at = departures_[name].seen_at.emplace(report.run, now).first->second;
+        bool is_over = !contact->is_open() && now - seen_at > departure_linger;
+        if (report.is_stopped || is_over || is_replaced(report.run)) {
+            ended.push_back(report.run);
+        }
+    }
+    co_return ended;
+}
+
+// Once enough replicas have reached a position that the primary had after the departures,
+// no acknowledged commit depends on the departed members.
 net::awaitable<void> promotion_controller::check_coverage(service_name name)
 {
-    auto departed = departures_[name].uncovered;
-    member_id none_excluded;
-    attempt current{.name = name};
-    current.contacts = co_await connect_members(name, none_excluded);
-    auto& contacts = current.contacts;
-    auto input = build_promotion_input(current);
-    const member_status* primary = nullptr;
-    for (const auto& member : input.members) {
-        bool leads = member.status && member.status->is_primary;
-        primary = leads && member.run.id == input.primary ? &*member.status : primary;
-    }
-    if (primary != nullptr) {
-        auto deadline = steady_clock::now() + reach_timeout;
-        contact_action refresh =
-            [deadline](member_contact& contact) -> net::awaitable<void> {
-            co_await contact.refresh_status(deadline);
-        };
-        co_await run_on_each(contacts, std::move(refresh));
-        auto holds = [&](const auto& contact) {
-            const auto& report = contact->report();
-            return report.run.id == input.primary ||
-                   (report.status && report.status->received >= primary->received);
+    auto ended = co_await find_ended_runs(name);
+    if (!ended.empty() && is_leading()) {
+        member_id none_excluded;
+        attempt current{.name = name};
+        current.contacts = co_await connect_members(name, none_excluded);
+        auto first = build_promotion_input(current);
+        contact_action refresh = [&](member_contact& contact) -> net::awaitable<void> {
+            if (contact.report().run.id != first.primary) {
+                co_await contact.refresh_status(steady_clock::now() + reach_timeout);
+            }
         };
-        if (std::all_of(contacts.begin(), contacts.end(), holds)) {
-            for (const auto& run : departed) {
-                departures_[name].uncovered.erase(run);
+        co_await run_on_each(current.contacts, std::move(refresh));
+        if (covers_departures(build_promotion_input(current))) {
+            for (const auto& run : ended) {
+                command change = remove_member{.run = run, .is_covered = true};
+                static_cast<void>(co_await propose(std::move(change)));
             }
         }
     }
--- a/src/papayakeeper/promotion_controller.cpp
+++ b/src/papayakeeper/promotion_controller.cpp
@@ -145,21 +145,28 @@
     }
 }
 
-// A member that left or restarted may have been the only replica that held a commit.
-void promotion_controller::record_departures(const service_name& name)
+bool promotion_controller::is_coverage_check_due(const service_name& name)
 {
-    auto& departures = departures_[name];
-    std::map<member_id, member_run> present;
-    for (const auto* member : replicated_.applied().state().pool().members_of(name)) {
-        present[member->run.id] = member->run;
+    auto runs = replicated_.applied().state().pool().departed_of(name);
+    if (runs.empty()) {
+        departures_.erase(name);
+        return false;
     }
-    for (const auto& [id, run] : departures.known_runs) {
-        auto found = present.find(id);
-        if (found == present.end() || found->second != run) {
-            departures.uncovered.insert(run);
-        }
+    auto now = steady_clock::now();
+    auto& watch = departures_[name];
+    for (const auto& run : runs) {
+        watch.seen_at.emplace(run, now);
+    }
+    if (now < watch.next_check) {
+        return false;
     }
-    departures.known_runs = std::move(present);
+    watch.next_check = now + coverage_check_interval;
+    return true;
+}
+
+std::size_t promotion_controller::count_departed(const service_name& name) const
+{
+    return replicated_.applied().state().pool().departed_of(name).size();
 }
 
 std::string promotion_controller::promotion_reason(const service_name& name,
@@ -192,7 +199,6 @@
 void promotion_controller::check_service(const service_name& name,
                                          const pooled_service& service)
 {
-    record_departures(name);
     auto now = steady_clock::now();
     auto retry = retry_at_.find(name);
     if (in_progress_.count(name) != 0 ||
@@ -200,12 +206,10 @@
         return;
     }
     auto reason = promotion_reason(name, service);
-    auto& departures = departures_[name];
     if (!reason.empty()) {
         in_progress_.insert(name);
         net::co_spawn(executor_, run_promotion(name, std::move(reason)), net::detached);
-    } else if (!departures.uncovered.empty() && now >= departures.next_check) {
-        departures.next_check = now + coverage_check_interval;
+    } else if (is_coverage_check_due(name)) {
         in_progress_.insert(name);
         net::co_spawn(executor_, check_coverage(name), net::detached);
     }
--- a/src/papayakeeper/promotion_controller.hpp
+++ b/src/papayakeeper/promotion_controller.hpp
@@ -33,13 +33,11 @@
         time_point last_reported;
         time_point began;
     };
-    /// Runs of members that left while they may have held the only copy of a commit,
-    /// until check_coverage() finds the remaining replicas complete or a promotion
-    /// has taken effect.
-    struct departure_record
+    /// What this leader knows of the departed runs of a service; see pool_state.
+    struct departure_watch
     {
-        std::map<member_id, member_run> known_runs;
-        std::set<member_run> uncovered;
+        /// When this leader first saw that a run had departed.
+        std::map<member_run, time_point> seen_at;
         time_point next_check;
     };
     using contact_list = std::vector<std::unique_ptr<member_contact>>;
@@ -60,7 +58,7 @@
 
     net::awaitable<void> run();
     void check_service(const service_name& name, const pooled_service& service);
-    void record_departures(const service_name& name);
+    bool is_coverage_check_due(const service_name& name);
     std::string promotion_reason(const service_name& name, const pooled_service& service);
     /// Counts the valid complaints about \p member; \p began becomes the start of the
     /// oldest one.
@@ -102,6 +100,9 @@
     net::awaitable<bool> has_taken_over(const attempt& current, member_id target,
                                         member_contact* contact);
     net::awaitable<void> check_coverage(service_name name);
+    /// The departed runs of the service that can acknowledge nothing more.
+    net::awaitable<std::vector<member_run>> find_ended_runs(service_name name);
+    std::size_t count_departed(const service_name& name) const;
     promotion_input build_promotion_input(const attempt& current);
     bool is_pending(const service_name& name) const;
     member_id primary_of(const service_name& name) const;
@@ -118,7 +119,7 @@
     std::set<service_name> in_progress_;
     std::map<service_name, time_point> retry_at_;
     std::map<service_name, std::map<entry_id, complaint>> complaints_;
-    std::map<service_name, departure_record> departures_;
+    std::map<service_name, departure_watch> departures_;
     pooled_configuration configuration_;
 };
 
