The COMMIT of a transaction that only read counted as a position of the primary

Cause: each answer inside a transaction that began at a primary was a sample of the primary's position. A former primary answers the COMMIT of a transaction that wrote nothing, with the position of its own older log.

Ruled out: the replica's position (it held what the read asked for), the age of the sample.

Change: proves_primary_role tells for each kind of statement whether its success proves that the member led, with a table test; record_sample is the only way to a sample and asks it.

--- a/src/libpapayabridge/core/position_samples.cpp
+++ b/src/libpapayabridge/core/position_samples.cpp
@@ -48,6 +48,23 @@
     return found->reached;
 }
 
+// A former primary refuses every write, and every statement of a transaction except the
+// COMMIT of one that wrote nothing. It runs reads outside transactions.
+bool proves_primary_role(statement_verb verb, bool in_transaction, bool wrote)
+{
+    switch (verb) {
+    case statement_verb::read:
+    case statement_verb::execute:
+        return in_transaction || wrote;
+    case statement_verb::write:
+        return true;
+    case statement_verb::commit:
+        return in_transaction && wrote;
+    default:
+        return false;
+    }
+}
+
 position_samples::time boottime_now()
 {
     timespec now{};
--- a/src/libpapayabridge/core/position_samples.hpp
+++ b/src/libpapayabridge/core/position_samples.hpp
@@ -11,6 +11,7 @@
 #include <deque>
 #include <optional>
 #include <papayabridge/ids.hpp>
+#include <papayabridge/statement.hpp>
 
 namespace papayabridge {
 
@@ -39,6 +40,11 @@
     std::deque<sample> samples_;
 };
 
+/// Whether success of a statement of kind \p verb proves that the member led when it ran
+/// it: outside a transaction, or in one that began at the primary and, this statement
+/// included, \p wrote or not.
+bool proves_primary_role(statement_verb verb, bool in_transaction, bool wrote);
+
 /// Time since the machine booted, including time suspended.
 position_samples::time boottime_now();
 
--- a/src/libpapayabridge/core/position_samples_test.cpp
+++ b/src/libpapayabridge/core/position_samples_test.cpp
@@ -29,6 +29,38 @@
     EXPECT_FALSE(samples.required_position(milliseconds(3101), milliseconds(100)));
 }
 
+// The COMMIT of a transaction that only read, answered by a former primary, counted as a
+// position of the primary, and reads of bounded staleness were too old.
+TEST(position_samples, only_answers_that_a_former_primary_refuses_are_samples)
+{
+    struct row
+    {
+        statement_verb verb;
+        bool in_transaction;
+        bool wrote;
+        bool proves;
+    };
+    constexpr row rows[] = {
+        {statement_verb::write, false, true, true},
+        {statement_verb::write, true, true, true},
+        {statement_verb::read, false, false, false},
+        {statement_verb::read, true, false, true},
+        {statement_verb::execute, false, false, false},
+        {statement_verb::execute, false, true, true},
+        {statement_verb::execute, true, false, true},
+        {statement_verb::commit, true, true, true},
+        {statement_verb::commit, true, false, false},
+        {statement_verb::rollback, true, true, false},
+        {statement_verb::begin_read_only, true, false, false},
+        {statement_verb::set_value, false, false, false},
+    };
+    for (const auto& row : rows) {
+        EXPECT_EQ(proves_primary_role(row.verb, row.in_transaction, row.wrote),
+                  row.proves)
+            << static_cast<int>(row.verb) << row.in_transaction << row.wrote;
+    }
+}
+
 TEST(position_samples, suspension_expires_all_samples)
 {
     position_samples samples;
--- a/src/libpapayabridge/session/statement_runner.cpp
+++ b/src/libpapayabridge/session/statement_runner.cpp
@@ -260,11 +260,13 @@
     }
 }
 
-void statement_runner::record_sample(const execution& run, position_samples::time sent,
-                                     const statement_answer& answer)
+void statement_runner::record_sample(const execution& run, bool in_transaction,
+                                     bool wrote, const statement_answer& answer)
 {
-    if (answer.log_position) {
-        services_.samples[run.route.service].add(sent, *answer.log_position);
+    bool is_sample = !answer.failure && answer.log_position &&
+                     proves_primary_role(run.stmt.verb, in_transaction, wrote);
+    if (is_sample) {
+        services_.samples[run.route.service].add(run.sent, *answer.log_position);
     }
 }
 
@@ -323,7 +325,7 @@
         co_return std::nullopt;
     }
     if (!failure) {
-        record_sample(run, run.sent, answer.value());
+        record_sample(run, false, run.writes, answer.value());
         session_.last_commit =
             std::max(session_.last_commit, answer.value().log_position);
     }
@@ -348,8 +350,8 @@
         co_return std::nullopt;
     }
     auto& failure = answer.value().failure;
-    if (!failure && scope == run_scope::read_at_primary) {
-        record_sample(run, run.sent, answer.value());
+    if (scope == run_scope::read_at_primary) {
+        record_sample(run, true, run.writes, answer.value());
     }
     if (failure && failure->kind != error_kind::bad_request) {
         record_failure(run, outcome.member, *failure, answer.value().log_position);
@@ -435,7 +437,7 @@
     if (answer && !answer.value().failure) {
         transaction.wrote = transaction.wrote || run.writes;
         if (transaction.at_primary) {
-            record_sample(run, run.sent, answer.value());
+            record_sample(run, true, transaction.wrote, answer.value());
         }
     }
     co_return finish_statement(run, transaction, std::move(answer));
--- a/src/libpapayabridge/session/statement_runner.hpp
+++ b/src/libpapayabridge/session/statement_runner.hpp
@@ -148,7 +148,7 @@
     static void set_last_error(execution& run, const error& problem);
     void record_failure(execution& run, const member_id& member, const error& problem,
                         std::optional<position> reached = {});
-    void record_sample(const execution& run, position_samples::time sent,
+    void record_sample(const execution& run, bool in_transaction, bool wrote,
                        const statement_answer& answer);
 
     session_services& services_;
