Replicas were resumed under an order that could still take effect

What callers would have seen: acknowledged writes missing at the next primary.

Cause: such an attempt let the replicas receive again, although no higher token had been used at the platform; that an order was under way stood in the pending promotion's target, which the next begin_promotion erased.

Ruled out: the reaffirmation of a primary that answers; it uses the new token before it resumes.

Change: a pending promotion keeps, replicated, that an earlier attempt may have ordered, until a primary is confirmed; until then an attempt without a safe target leaves the replicas stopped.

--- a/src/libpapayabridge/core/pool_codec.cpp
+++ b/src/libpapayabridge/core/pool_codec.cpp
@@ -71,6 +71,7 @@
     if (service.pending) {
         value["token"] = number(service.pending->fencing_token.value());
         value["target"] = service.pending->target.str();
+        value["follows_order"] = service.pending->follows_order;
     }
     return value;
 }
@@ -82,7 +83,8 @@
     if (value.isMember("token")) {
         service.pending =
             promotion{.fencing_token = control_index(number_of(value, "token")),
-                      .target = member_id(text_of(value, "target"))};
+                      .target = member_id(text_of(value, "target")),
+                      .follows_order = flag_of(value, "follows_order")};
     }
     return service;
 }
--- a/src/libpapayabridge/core/pool_state.cpp
+++ b/src/libpapayabridge/core/pool_state.cpp
@@ -202,7 +202,9 @@
 
 void pool_state::apply(control_index index, const begin_promotion& change)
 {
-    services_[change.service].pending = promotion{.fencing_token = index};
+    auto& pending = services_[change.service].pending;
+    bool follows_order = pending && (pending->follows_order || !pending->target.empty());
+    pending = promotion{.fencing_token = index, .follows_order = follows_order};
 }
 
 void pool_state::apply(control_index, const choose_target& change)
--- a/src/libpapayabridge/core/pool_state_test.cpp
+++ b/src/libpapayabridge/core/pool_state_test.cpp
@@ -247,6 +247,29 @@
     EXPECT_EQ(origin.pool().departed_of(service_id).size(), 1U);
 }
 
+// Until a primary is confirmed, an order of an earlier attempt may take effect.
+TEST(pool_state, attempt_after_an_order_knows_of_it)
+{
+    auto origin = three_members();
+    auto begin = [&] {
+        origin.apply(begin_promotion{.service = service_id});
+        return control_index(origin.index);
+    };
+    auto token = begin();
+    EXPECT_FALSE(origin.service().pending->follows_order);
+    origin.apply(choose_target{
+        .service = service_id, .fencing_token = token, .target = member_id("m2")});
+    begin();
+    EXPECT_TRUE(origin.service().pending->follows_order);
+    token = begin();
+    auto restored = pool_state::from_snapshot(origin.pool().snapshot());
+    EXPECT_TRUE(restored.services().at(service_id).pending->follows_order);
+    origin.apply(confirm_primary{
+        .service = service_id, .fencing_token = token, .primary = member_id("m1")});
+    begin();
+    EXPECT_FALSE(origin.service().pending->follows_order);
+}
+
 TEST(pool_state, snapshot_of_an_earlier_version_has_no_departed_members)
 {
     auto origin = three_members();
--- a/src/papayakeeper/promotion_attempt.cpp
+++ b/src/papayakeeper/promotion_attempt.cpp
@@ -395,7 +395,9 @@
             // It holds every commit; without it there is no primary.
             static_cast<void>(co_await reaffirm_primary(current, input.primary));
         }
-        co_await resume_receiving(current);
+        if (!follows_order(name)) {
+            co_await resume_receiving(current);
+        }
         co_return;
     }
     command choice =
--- a/src/papayakeeper/promotion_controller.cpp
+++ b/src/papayakeeper/promotion_controller.cpp
@@ -99,6 +99,14 @@
     return found != services.end() && found->second.pending;
 }
 
+bool promotion_controller::follows_order(const service_name& name) const
+{
+    const auto& services = replicated_.applied().state().pool().services();
+    auto found = services.find(name);
+    return found != services.end() && found->second.pending &&
+           found->second.pending->follows_order;
+}
+
 void promotion_controller::record_trouble(const member_failure& failure)
 {
     auto now = steady_clock::now();
--- a/src/papayakeeper/promotion_controller.hpp
+++ b/src/papayakeeper/promotion_controller.hpp
@@ -105,6 +105,9 @@
     std::size_t count_departed(const service_name& name) const;
     promotion_input build_promotion_input(const attempt& current);
     bool is_pending(const service_name& name) const;
+    /// Whether an order of an earlier attempt may still take effect. Replicas that
+    /// receive until then would acknowledge commits that its target lacks.
+    bool follows_order(const service_name& name) const;
     member_id primary_of(const service_name& name) const;
     net::awaitable<result<control_index>> propose(command change);
     net::awaitable<void> sleep_for(std::chrono::milliseconds time);
