A session whose answer was still being written counted as idle

Cause: the session was marked as not running before its answer was written; the drain closes idle sessions.

Ruled out: the end of the grace period (cut after 0.7 to 0.8 s of the request).

Change: a session is running until its answer is written. The limit of idle transactions is not changed: a caller who does not read cannot keep a member's connection.

--- a/src/libpapayabridge/session/caller_session.cpp
+++ b/src/libpapayabridge/session/caller_session.cpp
@@ -110,8 +110,10 @@
 
 net::awaitable<bool> caller_session::write(std::string bytes)
 {
+    writing_ = true;
     auto [failed, count] =
         co_await net::async_write(socket_, net::buffer(bytes), use_tuple);
+    writing_ = false;
     co_return !failed;
 }
 
--- a/src/libpapayabridge/session/caller_session.hpp
+++ b/src/libpapayabridge/session/caller_session.hpp
@@ -19,9 +19,9 @@
     ~caller_session();
 
     void start();
-    /// Whether no statement is running and no transaction is open.
-    bool is_idle() const noexcept { return !running_ && !transaction_; }
-    bool is_running() const noexcept { return running_; }
+    /// Whether no statement is running or being answered and no transaction is open.
+    bool is_idle() const noexcept { return !is_running() && !transaction_; }
+    bool is_running() const noexcept { return running_ || writing_; }
     /// Closes the connection; an open transaction is rolled back.
     void close();
 
@@ -63,6 +63,8 @@
     net::steady_timer idle_timer_;
     std::string input_;
     bool running_ = false;
+    // An answer is written in parts if it is larger than the socket's buffer.
+    bool writing_ = false;
 };
 
 /// The open sessions of an entry.
