--- a/src/include/papayabridge/pool_state.hpp
+++ b/src/include/papayabridge/pool_state.hpp
@@ -61,7 +61,8 @@
     control_index fencing_token;
     /// The member to promote. Empty until it is chosen.
     member_id target;
-    /// Whether an earlier attempt may have ordered a promotion that can still take effect.
+    /// Whether an earlier attempt may have ordered a promotion that can still take
+    /// effect.
     bool follows_order = false;
 };
 
--- a/src/libpapayabridge/core/promotion_plan.cpp
+++ b/src/libpapayabridge/core/promotion_plan.cpp
@@ -155,12 +155,14 @@
     if (acting.empty()) {
         return promotion_kind::replace_lost;
     }
+    // Another member leads if an earlier order has taken effect.
+    if (acting != input.primary) {
+        return promotion_kind::reaffirm;
+    }
     if (leaving) {
         return promotion_kind::planned;
     }
-    // Another member leads if an earlier order has taken effect.
-    bool keeps = acting != input.primary || !lost;
-    return keeps ? promotion_kind::reaffirm : promotion_kind::replace_leading;
+    return lost ? promotion_kind::replace_leading : promotion_kind::reaffirm;
 }
 
 bool should_replace_primary(probe_outcome probe, std::size_t complaining_entries,
--- a/src/libpapayabridge/core/promotion_plan_test.cpp
+++ b/src/libpapayabridge/core/promotion_plan_test.cpp
@@ -130,6 +130,10 @@
          false,
          true,
          promotion_kind::reaffirm},
+        {{make_report("p", 7), make_report("a", 7, true)},
+         true,
+         false,
+         promotion_kind::reaffirm},
     };
     for (const auto& row : rows) {
         EXPECT_EQ(choose_promotion_kind(make_input(row.members), row.leaving, row.lost),
--- a/src/libpapayabridge/entry/caller_service.cpp
+++ b/src/libpapayabridge/entry/caller_service.cpp
@@ -1,9 +1,8 @@
 #include "caller_service.hpp"
 
 #include "caller_request.hpp"
+#include "member_announcement.hpp"
 
-#include <algorithm>
-#include <array>
 #include <papayabridge/json.hpp>
 
 namespace papayabridge {
@@ -12,8 +11,6 @@
 
 constexpr std::size_t chunk_bytes = 64 * 1024;
 constexpr std::string_view caller_prefix = "/v1/";
-constexpr std::array announced_counts{"group_size", "slots", "connections"};
-constexpr std::uint64_t max_announced_count = 1'000'000;
 
 std::string target_of(const http_exchange& exchange)
 {
@@ -21,23 +18,6 @@
     return {target.data(), target.size()};
 }
 
-bool has_usable_endpoint(const Json::Value& announcement)
-{
-    auto endpoint = parse_endpoint(text_of(announcement, "endpoint"));
-    return endpoint && endpoint->port() != 0;
-}
-
-// Whether each count that the announcement tells can be used.
-bool has_usable_counts(const Json::Value& announcement)
-{
-    return std::all_of(announced_counts.begin(), announced_counts.end(),
-                       [&](const char* name) {
-                           auto count = number_of(announcement, name);
-                           return !announcement.isMember(name) ||
-                                  (count >= 1 && count <= max_announced_count);
-                       });
-}
-
 std::vector<std::string> split_at_slashes(std::string_view text)
 {
     std::vector<std::string> segments;
@@ -230,33 +210,13 @@
 
 net::awaitable<void> caller_service::handle_announcement(http_exchange& exchange)
 {
-    auto parsed = parse_json(exchange.request().body());
-    announce_member change;
-    change.member.id = member_id(parsed ? text_of(parsed.value(), "member") : "");
-    if (!parsed || change.member.id.empty() || !has_usable_endpoint(parsed.value()) ||
-        !has_usable_counts(parsed.value()))
-    {
-        auto problem = fail(error_kind::bad_request,
-                            "an announcement needs service, database, member, endpoint, "
-                            "and counts from 1 to 1000000");
+    auto change = decode_member_announcement(exchange.request().body());
+    if (!change) {
         static_cast<void>(
-            co_await exchange.reply(json_response(400, error_body(problem, {}))));
+            co_await exchange.reply(json_response(400, error_body(change.error(), {}))));
         co_return;
     }
-    const auto& body = parsed.value();
-    change.database = {service_name(text_of(body, "service")),
-                       database_name(text_of(body, "database"))};
-    change.group_size = static_cast<unsigned>(number_of(body, "group_size", 1));
-    change.member.endpoint = text_of(body, "endpoint");
-    change.member.domain = domain_name(text_of(body, "domain"));
-    change.member.region = region_name(text_of(body, "region"));
-    change.member.slots = static_cast<unsigned>(number_of(body, "slots", 1));
-    change.member.connections = static_cast<unsigned>(number_of(body, "connections", 1));
-    change.member.admitted = !body.isMember("complete") || flag_of(body, "complete");
-    if (text_of(body, "condition") == "leaving") {
-        change.member.condition = member_condition::leaving;
-    }
-    auto announced = co_await options_.control.announce(change);
+    auto announced = co_await options_.control.announce(change.value());
     if (!announced) {
         auto status = answer_of(announced.error().kind).http_status;
         auto text = error_body(announced.error(), {});
--- a/src/papayakeeper/member_contact.hpp
+++ b/src/papayakeeper/member_contact.hpp
@@ -8,6 +8,9 @@
 
 namespace papayabridge {
 
+/// A live member answers within this time across regions, even if its slots are busy.
+inline constexpr std::chrono::milliseconds member_reach_timeout{500};
+
 /// A member during a promotion. Must outlive its pending calls.
 class member_contact
 {
--- a/src/papayakeeper/promotion_attempt.cpp
+++ b/src/papayakeeper/promotion_attempt.cpp
@@ -15,8 +15,6 @@
 
 namespace {
 
-// A live member answers within this time across regions, even if its slots are busy.
-constexpr std::chrono::milliseconds reach_timeout{500};
 constexpr std::chrono::milliseconds propose_timeout{1500};
 // An accepted promotion takes effect within this time; after it, a new attempt begins.
 constexpr std::chrono::milliseconds takeover_timeout{3500};
@@ -27,8 +25,6 @@
 // How long a planned change waits for the target to catch up with the primary.
 constexpr std::chrono::milliseconds catch_up_timeout{400};
 constexpr std::chrono::milliseconds catch_up_poll_interval{15};
-// Longer than a member runs on after its DELETE, which it then ends without an answer.
-constexpr std::chrono::seconds departure_linger{8};
 // What a primary sent before it stepped down arrives within this time.
 constexpr std::chrono::milliseconds in_flight_time{100};
 
@@ -72,7 +68,7 @@
     for (const auto* member : replicated_.applied().state().pool().members_of(name)) {
         contacts.push_back(std::make_unique<member_contact>(executor_, codec_, *member));
     }
-    auto deadline = steady_clock::now() + reach_timeout;
+    auto deadline = steady_clock::now() + member_reach_timeout;
     contact_action reach = [=](member_contact& contact) -> net::awaitable<void> {
         if (contact.report().run.id != excluded) {
             co_await contact.connect(deadline);
@@ -99,7 +95,7 @@
 {
     auto input = build_promotion_input(current);
     current.stop_below = highest_known_term(input.members).next();
-    auto deadline = steady_clock::now() + reach_timeout;
+    auto deadline = steady_clock::now() + member_reach_timeout;
     contact_action stop = [&, deadline](member_contact& contact) -> net::awaitable<void> {
         const auto& id = contact.report().run.id;
         if (id != input.primary && id != current.receiving) {
@@ -126,7 +122,7 @@
     if (arrived.empty()) {
         co_return;
     }
-    auto deadline = steady_clock::now() + reach_timeout;
+    auto deadline = steady_clock::now() + member_reach_timeout;
     contact_action stop = [&, deadline](member_contact& contact) -> net::awaitable<void> {
         co_await contact.connect(deadline);
         co_await contact.stop_receiving(current.stop_below, deadline);
@@ -146,7 +142,11 @@
 
 net::awaitable<void> promotion_controller::resume_receiving(attempt& current)
 {
-    auto deadline = steady_clock::now() + reach_timeout;
+    if (!is_leading()) {
+        // The next leader may have stopped them; it finds the attempt incomplete.
+        co_return;
+    }
+    auto deadline = steady_clock::now() + member_reach_timeout;
     contact_action resume = [deadline](member_contact& contact) -> net::awaitable<void> {
         bool stopped = contact.report().status &&
                        contact.report().status->stopped_below.value() != 0;
@@ -162,7 +162,7 @@
     auto input = build_promotion_input(current);
     auto below = current.stop_below == term() ? highest_known_term(input.members).next()
                                               : current.stop_below;
-    auto deadline = steady_clock::now() + reach_timeout;
+    auto deadline = steady_clock::now() + member_reach_timeout;
     for (auto& contact : current.contacts) {
         if (contact->report().run.id != input.primary) {
             continue;
@@ -243,6 +243,13 @@
         co_return target;
     }
     current.receiving = target;
+    auto run_of_target = [&] {
+        auto found = std::find_if(
+            current.contacts.begin(), current.contacts.end(),
+            [&](const auto& contact) { return contact->report().run.id == target; });
+        return found == current.contacts.end() ? member_run() : (*found)->report().run;
+    };
+    auto chosen_run = run_of_target();
     co_await stop_receiving(current);
     std::optional<position> primary_position;
     for (auto& contact : current.contacts) {
@@ -262,6 +269,10 @@
         co_return member_id();
     }
     co_await stop_new_members(current);
+    if (run_of_target() != chosen_run) {
+        // It was born anew and holds nothing.
+        co_return member_id();
+    }
     if (others_may_acknowledge(build_promotion_input(current), target)) {
         co_await step_down_primary(current);
         bool holds_all = false;
@@ -429,7 +440,7 @@
     // An order with an unclear answer is soon repeated with a higher token.
     auto limit = answer == promotion_answer::accepted
                      ? takeover_timeout
-                     : takeover_query_delay + reach_timeout;
+                     : takeover_query_delay + member_reach_timeout;
     while (is_leading() && elapsed_since(began) < limit) {
         auto* due_contact =
             elapsed_since(began) < takeover_query_delay ? nullptr : &contact;
@@ -461,7 +472,7 @@
     if (contact == nullptr) {
         co_return false;
     }
-    auto deadline = steady_clock::now() + reach_timeout;
+    auto deadline = steady_clock::now() + member_reach_timeout;
     if (contact->is_open()) {
         co_await contact->refresh_status(deadline);
     } else {
@@ -477,73 +488,4 @@
     co_return bool(confirmed);
 }
 
-// A member that got no answer to its DELETE runs on for some seconds, receives, and
-// counts for acknowledgements. One that cannot be reached has ended after
-// `departure_linger`.
-net::awaitable<std::vector<member_run>>
-promotion_controller::find_ended_runs(service_name name)
-{
-    contact_list contacts;
-    for (const auto& [run, departure] : replicated_.applied().state().pool().departed()) {
-        if (departure.service == name) {
-            pooled_member gone{
-                .run = run, .service = name, .endpoint = departure.endpoint};
-            contacts.push_back(std::make_unique<member_contact>(executor_, codec_, gone));
-        }
-    }
-    auto deadline = steady_clock::now() + reach_timeout;
-    contact_action connect = [deadline](member_contact& contact) -> net::awaitable<void> {
-        co_await contact.connect(deadline);
-    };
-    co_await run_on_each(contacts, std::move(connect));
-    // Another member listens at its address.
-    auto is_replaced = [&](const member_run& run) {
-        const auto& pool = replicated_.applied().state().pool();
-        auto found = pool.departed().find(run);
-        return found != pool.departed().end() &&
-               std::any_of(pool.members().begin(), pool.members().end(),
-                           [&](const auto& known) {
-                               return known.second.endpoint == found->second.endpoint &&
-                                      known.second.run != run;
-                           });
-    };
-    auto now = steady_clock::now();
-    std::vector<member_run> ended;
-    for (const auto& contact : contacts) {
-        const auto& report = contact->report();
-        auto seen_at = departures_[name].seen_at.emplace(report.run, now).first->second;
-        bool is_over = !contact->is_open() && now - seen_at > departure_linger;
-        if (report.is_stopped || is_over || is_replaced(report.run)) {
-            ended.push_back(report.run);
-        }
-    }
-    co_return ended;
-}
-
-// Once enough replicas have reached a position that the primary had after the departures,
-// no acknowledged commit depends on the departed members.
-net::awaitable<void> promotion_controller::check_coverage(service_name name)
-{
-    auto ended = co_await find_ended_runs(name);
-    if (!ended.empty() && is_leading()) {
-        member_id none_excluded;
-        attempt current{.name = name};
-        current.contacts = co_await connect_members(name, none_excluded);
-        auto first = build_promotion_input(current);
-        contact_action refresh = [&](member_contact& contact) -> net::awaitable<void> {
-            if (contact.report().run.id != first.primary) {
-                co_await contact.refresh_status(steady_clock::now() + reach_timeout);
-            }
-        };
-        co_await run_on_each(current.contacts, std::move(refresh));
-        if (covers_departures(build_promotion_input(current))) {
-            for (const auto& run : ended) {
-                command change = remove_member{.run = run, .is_covered = true};
-                static_cast<void>(co_await propose(std::move(change)));
-            }
-        }
-    }
-    in_progress_.erase(name);
-}
-
 } // namespace papayabridge
