A test of the gate fails if its first statement takes between 11.7 and 12 ms

The test let ten statements with 35 ms queue and expected that one with 36 ms is refused, as at least three of ten milliseconds are ahead.

The last statement now has 35 ms like those before it, so it is refused for any T; nothing that was refused before is let through.

--- a/src/libpapayabridge/session/statement_gate_test.cpp
+++ b/src/libpapayabridge/session/statement_gate_test.cpp
@@ -229,8 +229,8 @@
     for (int number = 0; number < 10; ++number) {
         fixture.send("w" + std::to_string(number), 0, std::chrono::milliseconds(35));
     }
-    // At least three statements of ten milliseconds each are ahead.
-    fixture.send("hopeless", 0, std::chrono::milliseconds(36));
+    // So many are ahead that the last of those was refused, whatever the first one took.
+    fixture.send("hopeless", 0, std::chrono::milliseconds(35));
     EXPECT_EQ(fixture.refused.at("hopeless"), error_kind::overloaded);
     EXPECT_TRUE(fixture.unservable);
 }
