Comments on departed members in the project's own words

Read as a newcomer: three comments named the platform's call, which only platform/ speaks of, and one told the limit as a riddle. Comments only; papayakeeper builds, format is clean.

--- a/src/papayakeeper/departure_coverage.cpp
+++ b/src/papayakeeper/departure_coverage.cpp
@@ -8,13 +8,13 @@
 
 namespace {
 
-// Longer than a member runs on after its DELETE, which it then ends without an answer.
+// A member whose withdrawal was not confirmed to it exits within this time.
 constexpr std::chrono::seconds departure_linger{8};
 
 } // namespace
 
-// A member that got no answer to its DELETE runs on for some seconds, receives, and
-// counts for acknowledgements. One that cannot be reached has ended after
+// A member whose withdrawal was not confirmed to it runs on for some seconds, receives,
+// and counts for acknowledgements. One that cannot be reached has ended after
 // `departure_linger`.
 net::awaitable<std::vector<member_run>>
 promotion_controller::find_ended_runs(service_name name)
