--- a/src/papayakeeper/promotion_attempt.cpp
+++ b/src/papayakeeper/promotion_attempt.cpp
@@ -147,14 +147,23 @@
         co_return;
     }
     auto deadline = steady_clock::now() + member_reach_timeout;
-    contact_action resume = [deadline](member_contact& contact) -> net::awaitable<void> {
+    std::string resumed;
+    contact_action resume = [&,
+                             deadline](member_contact& contact) -> net::awaitable<void> {
         bool stopped = contact.report().status &&
                        contact.report().status->stopped_below.value() != 0;
         if (stopped) {
+            resumed += (resumed.empty() ? "" : " ") + contact.report().run.id.str();
             co_await contact.resume_receiving(deadline);
         }
     };
     co_await run_on_each(current.contacts, std::move(resume));
+    if (!resumed.empty()) {
+        log_line(log_event::replicas_resumed,
+                 {{"service", current.name.str()},
+                  {"token", log_number(current.token.value())},
+                  {"replicas", resumed}});
+    }
 }
 
 net::awaitable<void> promotion_controller::step_down_primary(attempt& current)
@@ -227,6 +236,12 @@
     command change = confirm_primary{
         .service = current.name, .fencing_token = current.token, .primary = primary};
     auto confirmed = co_await propose(std::move(change));
+    if (confirmed) {
+        log_line(log_event::primary_kept,
+                 {{"service", current.name.str()},
+                  {"token", log_number(current.token.value())},
+                  {"member", primary.str()}});
+    }
     co_return bool(confirmed);
 }
 
@@ -387,12 +402,19 @@
         kind = promotion_kind::reaffirm;
     }
     log_line(log_event::promotion_begun, {{"service", name.str()}, {"reason", reason}});
+    auto earlier_target = pending_target(name);
     command beginning = begin_promotion{.service = name, .reason = reason};
     auto begun = co_await propose(std::move(beginning));
     if (!begun) {
         co_return;
     }
     current.token = begun.value();
+    if (!earlier_target.empty()) {
+        log_line(log_event::orders_outstanding,
+                 {{"service", name.str()},
+                  {"token", log_number(current.token.value())},
+                  {"targets", earlier_target.str()}});
+    }
     if (kind == promotion_kind::reaffirm) {
         auto acting_primary = self_reported_primary(input.members);
         static_cast<void>(co_await reaffirm_primary(current, acting_primary));
--- a/src/papayakeeper/promotion_controller.cpp
+++ b/src/papayakeeper/promotion_controller.cpp
@@ -99,6 +99,14 @@
     return found != services.end() && found->second.pending;
 }
 
+member_id promotion_controller::pending_target(const service_name& name) const
+{
+    const auto& services = replicated_.applied().state().pool().services();
+    auto found = services.find(name);
+    bool is_pending = found != services.end() && found->second.pending;
+    return is_pending ? found->second.pending->target : member_id();
+}
+
 bool promotion_controller::follows_order(const service_name& name) const
 {
     const auto& services = replicated_.applied().state().pool().services();
--- a/src/papayakeeper/promotion_controller.hpp
+++ b/src/papayakeeper/promotion_controller.hpp
@@ -109,6 +109,8 @@
     /// receive until then would acknowledge commits that its target lacks.
     bool follows_order(const service_name& name) const;
     member_id primary_of(const service_name& name) const;
+    /// The target of the pending promotion; empty if none is chosen.
+    member_id pending_target(const service_name& name) const;
     net::awaitable<result<control_index>> propose(command change);
     net::awaitable<void> sleep_for(std::chrono::milliseconds time);
 
