Commits were lost after an answer to an order was taken for its effect

Cause: an order whose answer is lost may have been carried out; it takes effect up to a second later. The next attempt ordered the present primary again and took the 200 for the end of the earlier order. The higher token only stops an order that was not carried out yet. The replicas received again, commits were acknowledged with the copy of any of them, and then the first target led.

Change: the targets of earlier orders are part of the replicated state until they are settled (promotion::outstanding, in place of a flag). An outstanding order is completed: the same target is ordered again, alone receives, and the primary serves until it takes over. A lead settles only orders before the leader's own. A refused order is withdrawn.

The test attempt_after_an_order_knows_of_it asked for the flag; its successor asks for the targets.

--- a/src/include/papayabridge/pool_state.hpp
+++ b/src/include/papayabridge/pool_state.hpp
@@ -59,11 +59,11 @@
 {
     /// Increases with each promotion of any service.
     control_index fencing_token;
-    /// The member to promote. Empty until it is chosen.
+    /// The member to promote. Empty until it is chosen, and after its order was refused.
     member_id target;
-    /// Whether an earlier attempt may have ordered a promotion that can still take
-    /// effect.
-    bool follows_order = false;
+    /// Targets of earlier attempts whose orders may still take effect. An empty id stands
+    /// for an unknown target.
+    std::vector<member_id> outstanding;
 };
 
 /// The primary of a pooled service, and the promotion under way.
@@ -75,6 +75,10 @@
     std::optional<promotion> pending;
 };
 
+/// Whether no earlier order can take effect any more once \p leader was seen to lead.
+/// Orders take effect in the order in which they were carried out.
+bool settles_orders(const pooled_service& service, const member_id& leader);
+
 /// A configuration, in the text that its author sent.
 struct published_configuration
 {
@@ -141,7 +145,8 @@
     std::string reason;
 };
 
-/// Sets the target of the pending promotion. Ignored unless the token is its token.
+/// Sets the target of the pending promotion before it is ordered. An empty target
+/// withdraws it, as its order was refused. Ignored unless the token is its token.
 struct choose_target
 {
     service_name service;
--- a/src/libpapayabridge/core/pool_codec.cpp
+++ b/src/libpapayabridge/core/pool_codec.cpp
@@ -71,11 +71,28 @@
     if (service.pending) {
         value["token"] = number(service.pending->fencing_token.value());
         value["target"] = service.pending->target.str();
-        value["follows_order"] = service.pending->follows_order;
+        // Read by earlier versions.
+        value["follows_order"] = !service.pending->outstanding.empty();
+        for (const auto& target : service.pending->outstanding) {
+            value["outstanding"].append(target.str());
+        }
     }
     return value;
 }
 
+std::vector<member_id> outstanding_from(const Json::Value& value)
+{
+    std::vector<member_id> targets;
+    for (const auto& target : value["outstanding"]) {
+        targets.emplace_back(target.isString() ? target.asString() : std::string());
+    }
+    if (targets.empty() && flag_of(value, "follows_order")) {
+        // Written by an earlier version, which did not record the targets.
+        targets.emplace_back();
+    }
+    return targets;
+}
+
 pooled_service service_from(const Json::Value& value)
 {
     pooled_service service{.primary = member_id(text_of(value, "primary")),
@@ -84,7 +101,7 @@
         service.pending =
             promotion{.fencing_token = control_index(number_of(value, "token")),
                       .target = member_id(text_of(value, "target")),
-                      .follows_order = flag_of(value, "follows_order")};
+                      .outstanding = outstanding_from(value)};
     }
     return service;
 }
--- a/src/libpapayabridge/core/pool_state.cpp
+++ b/src/libpapayabridge/core/pool_state.cpp
@@ -16,6 +16,20 @@
 
 } // namespace
 
+// The target led before, or was ordered before another member was: that it leads does not
+// show that its last order has taken effect.
+bool settles_orders(const pooled_service& service, const member_id& leader)
+{
+    if (!service.pending || leader.empty() || service.pending->target != leader ||
+        service.primary == leader)
+    {
+        return false;
+    }
+    const auto& outstanding = service.pending->outstanding;
+    auto repeats = std::count(outstanding.begin(), outstanding.end(), leader);
+    return repeats == 0 || static_cast<std::size_t>(repeats) == outstanding.size();
+}
+
 const pooled_member* pool_state::member(const member_id& id) const
 {
     auto found = members_.find(id);
@@ -171,7 +185,7 @@
     if (!reported.claims_primary) {
         return;
     }
-    bool promoted = service.pending && service.pending->target == reported.run.id;
+    bool promoted = settles_orders(service, reported.run.id);
     bool vacant = service.primary.empty() || member(service.primary) == nullptr;
     if (promoted) {
         set_promoted_primary(service, reported.service, reported.run.id);
@@ -203,8 +217,16 @@
 void pool_state::apply(control_index index, const begin_promotion& change)
 {
     auto& pending = services_[change.service].pending;
-    bool follows_order = pending && (pending->follows_order || !pending->target.empty());
-    pending = promotion{.fencing_token = index, .follows_order = follows_order};
+    promotion begun{.fencing_token = index};
+    if (pending) {
+        begun.outstanding = std::move(pending->outstanding);
+        auto is_known = std::count(begun.outstanding.begin(), begun.outstanding.end(),
+                                   pending->target) != 0;
+        if (!pending->target.empty() && !is_known) {
+            begun.outstanding.push_back(pending->target);
+        }
+    }
+    pending = std::move(begun);
 }
 
 void pool_state::apply(control_index, const choose_target& change)
--- a/src/libpapayabridge/core/pool_state_test.cpp
+++ b/src/libpapayabridge/core/pool_state_test.cpp
@@ -248,26 +248,106 @@
 }
 
 // Until a primary is confirmed, an order of an earlier attempt may take effect.
-TEST(pool_state, attempt_after_an_order_knows_of_it)
+TEST(pool_state, attempt_after_an_order_knows_its_target)
 {
     auto origin = three_members();
     auto begin = [&] {
         origin.apply(begin_promotion{.service = service_id});
         return control_index(origin.index);
     };
+    auto choose = [&](control_index token, const char* target) {
+        origin.apply(choose_target{
+            .service = service_id, .fencing_token = token, .target = member_id(target)});
+    };
+    using targets = std::vector<member_id>;
     auto token = begin();
-    EXPECT_FALSE(origin.service().pending->follows_order);
-    origin.apply(choose_target{
-        .service = service_id, .fencing_token = token, .target = member_id("m2")});
+    EXPECT_EQ(origin.service().pending->outstanding, targets());
+    choose(token, "m2");
+    token = begin();
+    EXPECT_EQ(origin.service().pending->outstanding, targets{member_id("m2")});
+    choose(token, "m2");
+    token = begin();
+    EXPECT_EQ(origin.service().pending->outstanding, targets{member_id("m2")});
+    choose(token, "m3");
     begin();
-    EXPECT_TRUE(origin.service().pending->follows_order);
     token = begin();
+    targets both{member_id("m2"), member_id("m3")};
+    EXPECT_EQ(origin.service().pending->outstanding, both);
     auto restored = pool_state::from_snapshot(origin.pool().snapshot());
-    EXPECT_TRUE(restored.services().at(service_id).pending->follows_order);
+    EXPECT_EQ(restored.services().at(service_id).pending->outstanding, both);
     origin.apply(confirm_primary{
         .service = service_id, .fencing_token = token, .primary = member_id("m1")});
     begin();
-    EXPECT_FALSE(origin.service().pending->follows_order);
+    EXPECT_EQ(origin.service().pending->outstanding, targets());
+}
+
+TEST(pool_state, refused_order_is_not_outstanding)
+{
+    auto origin = three_members();
+    origin.apply(begin_promotion{.service = service_id});
+    auto token = control_index(origin.index);
+    origin.apply(choose_target{
+        .service = service_id, .fencing_token = token, .target = member_id("m2")});
+    origin.apply(choose_target{.service = service_id, .fencing_token = token});
+    origin.apply(begin_promotion{.service = service_id});
+    EXPECT_TRUE(origin.service().pending->outstanding.empty());
+}
+
+TEST(pool_state, order_recorded_by_an_earlier_version_has_an_unknown_target)
+{
+    auto origin = three_members();
+    origin.apply(begin_promotion{.service = service_id});
+    auto snapshot = origin.pool().snapshot();
+    snapshot["services"]["s"]["follows_order"] = true;
+    auto restored = pool_state::from_snapshot(snapshot);
+    EXPECT_EQ(restored.services().at(service_id).pending->outstanding,
+              std::vector<member_id>{member_id()});
+}
+
+// Commits were lost after a member's first order took effect while a later order of
+// another member was still to do so.
+TEST(pool_state, leader_settles_only_orders_before_its_own)
+{
+    struct row
+    {
+        std::vector<std::string> outstanding;
+        std::string target;
+        std::string leader;
+        bool settles;
+    };
+    const row rows[] = {
+        {{}, "m2", "m2", true},
+        {{}, "m2", "m3", false},
+        {{"m2"}, "m2", "m2", true},
+        {{"m3"}, "m2", "m2", true},
+        {{"m2", "m3"}, "m2", "m2", false},
+        // It may not have taken over again yet.
+        {{}, "m1", "m1", false},
+        {{}, "", "", false},
+    };
+    for (const auto& row : rows) {
+        pooled_service service{.primary = member_id("m1"), .pending = promotion{}};
+        service.pending->target = member_id(row.target);
+        for (const auto& target : row.outstanding) {
+            service.pending->outstanding.emplace_back(target);
+        }
+        EXPECT_EQ(settles_orders(service, member_id(row.leader)), row.settles)
+            << row.target << " " << row.leader;
+    }
+}
+
+TEST(pool_state, announced_lead_does_not_end_a_promotion_with_another_order_outstanding)
+{
+    auto origin = three_members();
+    for (const auto* target : {"m2", "m3", "m2"}) {
+        origin.apply(begin_promotion{.service = service_id});
+        origin.apply(choose_target{.service = service_id,
+                                   .fencing_token = control_index(origin.index),
+                                   .target = member_id(target)});
+    }
+    origin.apply(report_member{primary_claim("m2", 9)});
+    EXPECT_TRUE(origin.service().pending);
+    EXPECT_EQ(origin.service().primary, member_id("m1"));
 }
 
 TEST(pool_state, snapshot_of_an_earlier_version_has_no_departed_members)
--- a/src/libpapayabridge/core/promotion_plan.cpp
+++ b/src/libpapayabridge/core/promotion_plan.cpp
@@ -20,11 +20,21 @@
     return member.run.id != input.primary;
 }
 
-// The most advanced log first; among equals, a member that is not leaving.
-bool is_better_target(const member_report& a, const member_report& b)
+bool is_outstanding(const promotion_input& input, const member_id& member)
 {
-    return std::make_tuple(a.status->received, !a.leaving) >
-           std::make_tuple(b.status->received, !b.leaving);
+    return std::count(input.outstanding.begin(), input.outstanding.end(), member) != 0;
+}
+
+// The most advanced log first; among equals, a member that was ordered before, then one
+// that is not leaving.
+bool is_better_target(const promotion_input& input, const member_report& a,
+                      const member_report& b)
+{
+    auto merit = [&](const member_report& member) {
+        return std::make_tuple(member.status->received,
+                               is_outstanding(input, member.run.id), !member.leaving);
+    };
+    return merit(a) > merit(b);
 }
 
 const member_report* most_advanced_replica(const promotion_input& input,
@@ -34,7 +44,7 @@
     for (const auto& member : input.members) {
         bool eligible = is_replica(input, member) && member.status &&
                         (allow_leaving || !member.leaving);
-        if (eligible && (best == nullptr || is_better_target(member, *best))) {
+        if (eligible && (best == nullptr || is_better_target(input, member, *best))) {
             best = &member;
         }
     }
@@ -52,6 +62,22 @@
     return std::max(input.copies, 1U);
 }
 
+// Whether only the last primary, which stepped down and still holds everything, may be
+// promoted by an outstanding order.
+bool is_former_primary_ordered(const promotion_input& input)
+{
+    if (!is_outstanding(input, input.primary) ||
+        !rival_targets(input, input.primary).empty()) {
+        return false;
+    }
+    auto newest = most_advanced_position(input);
+    return std::any_of(input.members.begin(), input.members.end(),
+                       [&](const member_report& member) {
+                           return !is_replica(input, member) && member.status &&
+                                  (!newest || member.status->received >= *newest);
+                       });
+}
+
 } // namespace
 
 member_id self_reported_primary(const std::vector<member_report>& members)
@@ -78,8 +104,35 @@
     return newest;
 }
 
+std::vector<member_id> rival_targets(const promotion_input& input,
+                                     const member_id& primary)
+{
+    std::vector<member_id> rivals;
+    std::copy_if(input.outstanding.begin(), input.outstanding.end(),
+                 std::back_inserter(rivals),
+                 [&](const member_id& target) { return target != primary; });
+    return rivals;
+}
+
+member_id repeatable_target(const promotion_input& input)
+{
+    auto rivals = rival_targets(input, input.primary);
+    if (rivals.size() != 1) {
+        return {};
+    }
+    bool answers = std::any_of(
+        input.members.begin(), input.members.end(), [&](const member_report& member) {
+            return member.run.id == rivals.front() && member.status;
+        });
+    return answers ? rivals.front() : member_id();
+}
+
 member_id planned_target(const promotion_input& input)
 {
+    auto ordered = repeatable_target(input);
+    if (!ordered.empty()) {
+        return ordered;
+    }
     const auto* best = most_advanced_replica(input, false);
     return best == nullptr ? member_id() : best->run.id;
 }
@@ -153,12 +206,17 @@
 {
     auto acting = self_reported_primary(input.members);
     if (acting.empty()) {
-        return promotion_kind::replace_lost;
+        return is_former_primary_ordered(input) ? promotion_kind::reaffirm
+                                                : promotion_kind::replace_lost;
     }
     // Another member leads if an earlier order has taken effect.
     if (acting != input.primary) {
         return promotion_kind::reaffirm;
     }
+    if (!rival_targets(input, acting).empty()) {
+        return repeatable_target(input).empty() ? promotion_kind::reaffirm
+                                                : promotion_kind::planned;
+    }
     if (leaving) {
         return promotion_kind::planned;
     }
--- a/src/libpapayabridge/core/promotion_plan.hpp
+++ b/src/libpapayabridge/core/promotion_plan.hpp
@@ -35,13 +35,16 @@
     /// The end of the primary's log, once it has given up its role: it acknowledges
     /// nothing more.
     std::optional<position> final_position;
+    /// See promotion::outstanding.
+    std::vector<member_id> outstanding;
 };
 
 /// How a promotion is prepared.
 enum class promotion_kind
 {
-    planned,         ///< The primary is leaving and serves until the change.
-    reaffirm,        ///< The member that leads stays; earlier orders become void.
+    planned,         ///< The primary serves until the change: it is leaving, or the
+                     ///< target was ordered before and may take over at any time.
+    reaffirm,        ///< The member that leads, or led last, stays.
     replace_leading, ///< The primary leads, but most entries cannot use it.
     replace_lost,    ///< No member leads.
 };
@@ -55,6 +58,12 @@
 member_id self_reported_primary(const std::vector<member_report>& members);
 /// The highest term that any member knows or has been stopped at.
 term highest_known_term(const std::vector<member_report>& members);
+/// The members, other than \p primary, whose outstanding promotion may take effect.
+std::vector<member_id> rival_targets(const promotion_input& input,
+                                     const member_id& primary);
+/// The target of the outstanding orders if it is the only one and answers: ordering it
+/// again needs no other order to become void. Empty otherwise.
+member_id repeatable_target(const promotion_input& input);
 /// The best target of a planned change, before the replicas are stopped. Empty if there
 /// is none.
 member_id planned_target(const promotion_input& input);
--- a/src/libpapayabridge/core/promotion_plan_test.cpp
+++ b/src/libpapayabridge/core/promotion_plan_test.cpp
@@ -141,6 +141,76 @@
     }
 }
 
+// An order whose answer was lost may have been carried out already. Ordering the same
+// target again is safe at any time; every other member has to wait until it cannot take
+// effect.
+TEST(promotion_plan, outstanding_order_is_completed_if_its_target_answers)
+{
+    struct row
+    {
+        std::vector<member_report> members;
+        std::vector<std::string> outstanding;
+        promotion_kind kind;
+        std::string target;
+    };
+    auto primary = make_report("p", 7, true);
+    const row rows[] = {
+        {{primary, make_report("a", 7), make_report("b", 9)},
+         {"a"},
+         promotion_kind::planned,
+         "a"},
+        {{primary, make_report("a", {}), make_report("b", 9)},
+         {"a"},
+         promotion_kind::reaffirm,
+         "b"},
+        {{primary, make_report("a", 7), make_report("b", 9)},
+         {"a", "b"},
+         promotion_kind::reaffirm,
+         "b"},
+        {{primary, make_report("a", 7), make_report("b", 9)},
+         {""},
+         promotion_kind::reaffirm,
+         "b"},
+        // The primary itself was ordered again, and leads.
+        {{primary, make_report("a", 7)}, {"p"}, promotion_kind::replace_leading, "a"},
+        // It stepped down and is to lead again.
+        {{make_report("p", 7), make_report("a", 7)},
+         {"p"},
+         promotion_kind::reaffirm,
+         "a"},
+        {{make_report("p", 0), make_report("a", 7)},
+         {"p"},
+         promotion_kind::replace_lost,
+         "a"},
+        {{make_report("p", {}), make_report("a", 7)},
+         {"p"},
+         promotion_kind::replace_lost,
+         "a"},
+        {{make_report("p", 7), make_report("a", 7)},
+         {"p", "a"},
+         promotion_kind::replace_lost,
+         "a"},
+    };
+    for (const auto& row : rows) {
+        auto input = make_input(row.members);
+        for (const auto& target : row.outstanding) {
+            input.outstanding.emplace_back(target);
+        }
+        EXPECT_EQ(choose_promotion_kind(input, false, true), row.kind);
+        EXPECT_EQ(planned_target(input), member_id(row.target));
+    }
+}
+
+TEST(promotion_plan, among_equal_replicas_the_one_ordered_before_is_target)
+{
+    auto input =
+        make_input({make_report("p", {}), make_report("a", 7), make_report("b", 7)});
+    input.outstanding = {member_id("b")};
+    EXPECT_EQ(safe_target(input), member_id("b"));
+    input.members[1] = make_report("a", 8);
+    EXPECT_EQ(safe_target(input), member_id("a"));
+}
+
 TEST(promotion_plan, departures_are_covered_by_as_many_replicas_as_a_commit_needs)
 {
     EXPECT_TRUE(covers_departures(make_input(
--- a/src/papayakeeper/promotion_attempt.cpp
+++ b/src/papayakeeper/promotion_attempt.cpp
@@ -1,5 +1,5 @@
 // One attempt to change the primary of a service, from obtaining a fencing token to the
-// confirmation of the new primary.
+// choice of the member to promote. What is ordered then is in promotion_orders.cpp.
 
 #include "promotion_controller.hpp"
 
@@ -16,12 +16,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds propose_timeout{1500};
-// An accepted promotion takes effect within this time; after it, a new attempt begins.
-constexpr std::chrono::milliseconds takeover_timeout{3500};
-constexpr std::chrono::milliseconds takeover_poll_interval{40};
-// The target is queried only if its announcement has not arrived after this time.
-constexpr std::chrono::milliseconds takeover_query_delay{300};
-constexpr std::chrono::milliseconds throttle_retry_interval{100};
 // How long a planned change waits for the target to catch up with the primary.
 constexpr std::chrono::milliseconds catch_up_timeout{400};
 constexpr std::chrono::milliseconds catch_up_poll_interval{15};
@@ -32,13 +26,15 @@
 
 net::awaitable<result<control_index>> promotion_controller::propose(command change)
 {
-    auto accepted = co_await replicated_.propose(
-        std::move(change), steady_clock::now() + propose_timeout, true);
+    auto asked = steady_clock::now();
+    auto accepted =
+        co_await replicated_.propose(std::move(change), asked + propose_timeout, true);
     if (!accepted) {
         log_line(log_event::promotion_step_not_accepted,
                  {{"detail", accepted.error().str()}});
         co_return accepted.error();
     }
+    lead_proved_at_ = std::max(lead_proved_at_, asked);
     co_return accepted.value().index;
 }
 
@@ -80,10 +76,13 @@
 
 promotion_input promotion_controller::build_promotion_input(const attempt& current)
 {
-    promotion_input input{.primary = primary_of(current.name),
+    promotion_input input{.primary = current.acting_primary.empty()
+                                         ? primary_of(current.name)
+                                         : current.acting_primary,
                           .copies = synchronous_copies_of(current.name),
                           .stop_below = current.stop_below,
-                          .final_position = current.final_position};
+                          .final_position = current.final_position,
+                          .outstanding = outstanding_targets(current)};
     for (const auto& contact : current.contacts) {
         input.members.push_back(contact->report());
     }
@@ -140,32 +139,6 @@
     }
 }
 
-net::awaitable<void> promotion_controller::resume_receiving(attempt& current)
-{
-    if (!is_leading()) {
-        // The next leader may have stopped them; it finds the attempt incomplete.
-        co_return;
-    }
-    auto deadline = steady_clock::now() + member_reach_timeout;
-    std::string resumed;
-    contact_action resume = [&,
-                             deadline](member_contact& contact) -> net::awaitable<void> {
-        bool stopped = contact.report().status &&
-                       contact.report().status->stopped_below.value() != 0;
-        if (stopped) {
-            resumed += (resumed.empty() ? "" : " ") + contact.report().run.id.str();
-            co_await contact.resume_receiving(deadline);
-        }
-    };
-    co_await run_on_each(current.contacts, std::move(resume));
-    if (!resumed.empty()) {
-        log_line(log_event::replicas_resumed,
-                 {{"service", current.name.str()},
-                  {"token", log_number(current.token.value())},
-                  {"replicas", resumed}});
-    }
-}
-
 net::awaitable<void> promotion_controller::step_down_primary(attempt& current)
 {
     auto input = build_promotion_input(current);
@@ -223,28 +196,6 @@
     co_return false;
 }
 
-// An earlier promotion order may still be carried out. Ordering the promotion of the
-// current primary with a higher token prevents this and changes nothing else.
-net::awaitable<bool> promotion_controller::reaffirm_primary(attempt& current,
-                                                            member_id primary)
-{
-    auto answer = co_await port_.promote(current.name, primary, holder_, current.token);
-    if (answer != promotion_answer::accepted) {
-        co_return false;
-    }
-    co_await resume_receiving(current);
-    command change = confirm_primary{
-        .service = current.name, .fencing_token = current.token, .primary = primary};
-    auto confirmed = co_await propose(std::move(change));
-    if (confirmed) {
-        log_line(log_event::primary_kept,
-                 {{"service", current.name.str()},
-                  {"token", log_number(current.token.value())},
-                  {"member", primary.str()}});
-    }
-    co_return bool(confirmed);
-}
-
 // Only the target keeps receiving, so it holds every commit that is acknowledged from now
 // on, and the service keeps running during the promotion. Commits acknowledged earlier
 // are covered by the primary's position after the other replicas stopped: the target has
@@ -266,6 +217,9 @@
     };
     auto chosen_run = run_of_target();
     co_await stop_receiving(current);
+    if (!co_await resume_member(current, target)) {
+        co_return member_id();
+    }
     std::optional<position> primary_position;
     for (auto& contact : current.contacts) {
         if (contact->report().run.id == input.primary) {
@@ -355,6 +309,21 @@
     }
 }
 
+void promotion_controller::log_outstanding(const attempt& current,
+                                           const promotion_input& input)
+{
+    std::string targets;
+    for (const auto& target : input.outstanding) {
+        targets += (targets.empty() ? "" : " ") + target.str();
+    }
+    if (!targets.empty()) {
+        log_line(log_event::orders_outstanding,
+                 {{"service", current.name.str()},
+                  {"token", log_number(current.token.value())},
+                  {"targets", targets}});
+    }
+}
+
 void promotion_controller::log_not_safe(const attempt& current)
 {
     log_line(log_event::promotion_not_safe,
@@ -396,118 +365,46 @@
     }
     if (!can_replace) {
         log_not_safe(current);
-        if (!is_pending(name)) {
+        if (pending_of(name) == nullptr) {
             co_return;
         }
         kind = promotion_kind::reaffirm;
     }
     log_line(log_event::promotion_begun, {{"service", name.str()}, {"reason", reason}});
-    auto earlier_target = pending_target(name);
     command beginning = begin_promotion{.service = name, .reason = reason};
     auto begun = co_await propose(std::move(beginning));
     if (!begun) {
         co_return;
     }
     current.token = begun.value();
-    if (!earlier_target.empty()) {
-        log_line(log_event::orders_outstanding,
-                 {{"service", name.str()},
-                  {"token", log_number(current.token.value())},
-                  {"targets", earlier_target.str()}});
-    }
+    log_outstanding(current, input);
     if (kind == promotion_kind::reaffirm) {
         auto acting_primary = self_reported_primary(input.members);
-        static_cast<void>(co_await reaffirm_primary(current, acting_primary));
+        static_cast<void>(co_await keep_primary(
+            current, acting_primary.empty() ? input.primary : acting_primary));
         co_return;
     }
     auto target = co_await prepare_target(current, kind);
     log_comparison(current);
     if (target.empty()) {
         log_not_safe(current);
-        if (current.final_position) {
-            // It holds every commit; without it there is no primary.
-            static_cast<void>(co_await reaffirm_primary(current, input.primary));
-        }
-        if (!follows_order(name)) {
-            co_await resume_receiving(current);
-        }
-        co_return;
-    }
-    command choice =
-        choose_target{.service = name, .fencing_token = current.token, .target = target};
-    auto chosen = co_await propose(std::move(choice));
-    if (chosen && is_leading()) {
+        co_await abandon(current, input.primary);
+    } else if (co_await choose(current, target) && is_leading()) {
         co_await order_promotion(current, target);
     }
 }
 
-net::awaitable<void> promotion_controller::order_promotion(attempt& current,
-                                                           member_id target)
-{
-    const auto& name = current.name;
-    auto answer = co_await port_.promote(name, target, holder_, current.token);
-    while (answer == promotion_answer::throttled && is_leading()) {
-        co_await sleep_for(throttle_retry_interval);
-        answer = co_await port_.promote(name, target, holder_, current.token);
-    }
-    if (answer != promotion_answer::accepted && answer != promotion_answer::unclear) {
-        co_return;
-    }
-    const auto* member = replicated_.applied().state().pool().member(target);
-    if (member == nullptr) {
-        co_return;
-    }
-    member_contact contact(executor_, codec_, *member);
-    auto began = steady_clock::now();
-    // An order with an unclear answer is soon repeated with a higher token.
-    auto limit = answer == promotion_answer::accepted
-                     ? takeover_timeout
-                     : takeover_query_delay + member_reach_timeout;
-    while (is_leading() && elapsed_since(began) < limit) {
-        auto* due_contact =
-            elapsed_since(began) < takeover_query_delay ? nullptr : &contact;
-        if (co_await has_taken_over(current, target, due_contact)) {
-            metrics::process()
-                .latency_of("papaya_promotion_seconds", {{"service", name.str()}})
-                .record(steady_clock::now() - began);
-            log_line(log_event::primary_changed,
-                     {{"service", name.str()},
-                      {"member", target.str()},
-                      {"token", log_number(current.token.value())},
-                      {"took_us", log_us(elapsed_since(began))}});
-            co_return;
-        }
-        co_await stop_new_members(current);
-        co_await sleep_for(takeover_poll_interval);
-    }
-}
-
-net::awaitable<bool> promotion_controller::has_taken_over(const attempt& current,
-                                                          member_id target,
-                                                          member_contact* contact)
+// A primary that stepped down holds every commit, and without it there is none. Replicas
+// stay stopped while the order of an earlier attempt may take effect.
+net::awaitable<void> promotion_controller::abandon(attempt& current, member_id primary)
 {
-    const auto& services = replicated_.applied().state().pool().services();
-    auto found = services.find(current.name);
-    if (found == services.end() || !found->second.pending) {
-        co_return found != services.end() && found->second.primary == target;
+    bool kept = false;
+    if (current.final_position) {
+        kept = co_await keep_primary(current, primary);
     }
-    if (contact == nullptr) {
-        co_return false;
+    if (!kept && outstanding_targets(current).empty()) {
+        static_cast<void>(co_await resume_receiving(current));
     }
-    auto deadline = steady_clock::now() + member_reach_timeout;
-    if (contact->is_open()) {
-        co_await contact->refresh_status(deadline);
-    } else {
-        co_await contact->connect(deadline);
-    }
-    const auto& status = contact->report().status;
-    if (!status || !status->is_primary) {
-        co_return false;
-    }
-    command change = confirm_primary{
-        .service = current.name, .fencing_token = current.token, .primary = target};
-    auto confirmed = co_await propose(std::move(change));
-    co_return bool(confirmed);
 }
 
 } // namespace papayabridge
--- a/src/papayakeeper/promotion_controller.cpp
+++ b/src/papayakeeper/promotion_controller.cpp
@@ -92,27 +92,28 @@
     return found == services.end() ? member_id() : found->second.primary;
 }
 
-bool promotion_controller::is_pending(const service_name& name) const
-{
-    const auto& services = replicated_.applied().state().pool().services();
-    auto found = services.find(name);
-    return found != services.end() && found->second.pending;
-}
-
-member_id promotion_controller::pending_target(const service_name& name) const
+const promotion* promotion_controller::pending_of(const service_name& name) const
 {
     const auto& services = replicated_.applied().state().pool().services();
     auto found = services.find(name);
     bool is_pending = found != services.end() && found->second.pending;
-    return is_pending ? found->second.pending->target : member_id();
+    return is_pending ? &*found->second.pending : nullptr;
 }
 
-bool promotion_controller::follows_order(const service_name& name) const
+std::vector<member_id>
+promotion_controller::outstanding_targets(const attempt& current) const
 {
-    const auto& services = replicated_.applied().state().pool().services();
-    auto found = services.find(name);
-    return found != services.end() && found->second.pending &&
-           found->second.pending->follows_order;
+    const auto* pending = pending_of(current.name);
+    if (pending == nullptr) {
+        return {};
+    }
+    auto targets = pending->outstanding;
+    bool is_earlier = pending->fencing_token != current.token;
+    bool is_known = std::count(targets.begin(), targets.end(), pending->target) != 0;
+    if (is_earlier && !pending->target.empty() && !is_known) {
+        targets.push_back(pending->target);
+    }
+    return targets;
 }
 
 void promotion_controller::record_trouble(const member_failure& failure)
--- a/src/papayakeeper/promotion_controller.hpp
+++ b/src/papayakeeper/promotion_controller.hpp
@@ -52,8 +52,11 @@
         /// See promotion_input.
         term stop_below;
         std::optional<position> final_position;
-        /// The only replica that may receive during a planned change.
+        /// The only replica that may receive during a planned change, or while its
+        /// outstanding promotion may take effect.
         member_id receiving;
+        /// The member that leads, if it is not the service's recorded primary.
+        member_id acting_primary;
     };
 
     net::awaitable<void> run();
@@ -80,14 +83,22 @@
     net::awaitable<member_id> prepare_replacement(attempt& current, bool steps_down);
     /// Whether a safe target is likely once a primary that leads has stepped down.
     net::awaitable<bool> can_replace_leading(attempt& current);
+    /// Ends an attempt without a target.
+    net::awaitable<void> abandon(attempt& current, member_id primary);
     void log_not_safe(const attempt& current);
+    static void log_outstanding(const attempt& current, const promotion_input& input);
     static void log_comparison(const attempt& current);
     net::awaitable<contact_list> connect_members(service_name name, member_id excluded);
     net::awaitable<void> run_on_each(contact_list& contacts, contact_action action);
     net::awaitable<void> stop_receiving(attempt& current);
     /// Stops replicas that were reported since the attempt began.
     net::awaitable<void> stop_new_members(attempt& current);
-    net::awaitable<void> resume_receiving(attempt& current);
+    /// False if this keeper may have lost the lead; then it resumes nothing.
+    net::awaitable<bool> resume_receiving(attempt& current);
+    net::awaitable<bool> resume_member(attempt& current, member_id member);
+    /// Whether a majority of the keepers has just accepted that this one leads. Until
+    /// `lead_proved_at_ + lead_validity` no other keeper can lead.
+    net::awaitable<bool> prove_lead();
     /// Makes the primary a replica and records where its log ends.
     net::awaitable<void> step_down_primary(attempt& current);
     /// Waits until \p target, or any replica if it is empty, has received \p needed.
@@ -95,22 +106,29 @@
     net::awaitable<bool> wait_for_position(attempt& current, member_id target,
                                            position needed,
                                            std::chrono::milliseconds patience);
-    net::awaitable<bool> reaffirm_primary(attempt& current, member_id primary);
+    /// Orders \p primary, which leads or led last, again; then lets the replicas receive.
+    net::awaitable<bool> keep_primary(attempt& current, member_id primary);
+    /// Waits until \p primary leads and the order of no rival can take effect any more.
+    net::awaitable<bool> outlast_orders(attempt& current, member_id primary,
+                                        std::vector<member_id> rivals);
+    static bool answers(const attempt& current, const member_id& member);
+    /// Records the target of the attempt's order, before it is sent.
+    net::awaitable<bool> choose(const attempt& current, member_id target);
+    net::awaitable<promotion_answer> send_order(const attempt& current, member_id target);
     net::awaitable<void> order_promotion(attempt& current, member_id target);
     net::awaitable<bool> has_taken_over(const attempt& current, member_id target,
                                         member_contact* contact);
+    bool settles_orders(const service_name& name, const member_id& leader) const;
     net::awaitable<void> check_coverage(service_name name);
     /// The departed runs of the service that can acknowledge nothing more.
     net::awaitable<std::vector<member_run>> find_ended_runs(service_name name);
     std::size_t count_departed(const service_name& name) const;
     promotion_input build_promotion_input(const attempt& current);
-    bool is_pending(const service_name& name) const;
-    /// Whether an order of an earlier attempt may still take effect. Replicas that
-    /// receive until then would acknowledge commits that its target lacks.
-    bool follows_order(const service_name& name) const;
+    const promotion* pending_of(const service_name& name) const;
+    /// Targets of orders of earlier attempts that may still take effect. Replicas that
+    /// receive until then would acknowledge commits that such a target lacks.
+    std::vector<member_id> outstanding_targets(const attempt& current) const;
     member_id primary_of(const service_name& name) const;
-    /// The target of the pending promotion; empty if none is chosen.
-    member_id pending_target(const service_name& name) const;
     net::awaitable<result<control_index>> propose(command change);
     net::awaitable<void> sleep_for(std::chrono::milliseconds time);
 
@@ -121,6 +139,7 @@
     configuration_decoder decoder_;
     std::string holder_;
     bool stopping_ = false;
+    time_point lead_proved_at_;
     std::set<service_name> in_progress_;
     std::map<service_name, time_point> retry_at_;
     std::map<service_name, std::map<entry_id, complaint>> complaints_;
