A primary that had stepped down was forgotten when its successor's order was lost

Cause: an attempt made the primary step down, which told the end of its log, and its order got no answer. The end of the log was memory of that attempt. The next one saw a primary that is none any more and a silent replica, and found no safe target for as long as that one was silent.

Change: a former primary that answers as a replica while nobody leads ended its log, if it still is the run in which it led; that run is part of the replicated state now (a member may be born anew without its log). An outstanding order for the former primary itself is repeated instead of one for another member.

--- a/src/include/papayabridge/pool_state.hpp
+++ b/src/include/papayabridge/pool_state.hpp
@@ -70,6 +70,9 @@
 struct pooled_service
 {
     member_id primary;
+    /// Start time of the primary's run when it last came to lead, as in member_run; 0 if
+    /// unknown. A later run may have lost its log.
+    std::uint64_t primary_started_ms = 0;
     /// Number of changes of the primary.
     std::uint64_t primary_changes = 0;
     std::optional<promotion> pending;
--- a/src/libpapayabridge/core/pool_codec.cpp
+++ b/src/libpapayabridge/core/pool_codec.cpp
@@ -67,6 +67,7 @@
 {
     Json::Value value;
     value["primary"] = service.primary.str();
+    value["primary_started_ms"] = number(service.primary_started_ms);
     value["primary_changes"] = number(service.primary_changes);
     if (service.pending) {
         value["token"] = number(service.pending->fencing_token.value());
@@ -96,6 +97,7 @@
 pooled_service service_from(const Json::Value& value)
 {
     pooled_service service{.primary = member_id(text_of(value, "primary")),
+                           .primary_started_ms = number_of(value, "primary_started_ms"),
                            .primary_changes = number_of(value, "primary_changes")};
     if (value.isMember("token")) {
         service.pending =
--- a/src/libpapayabridge/core/pool_state.cpp
+++ b/src/libpapayabridge/core/pool_state.cpp
@@ -163,6 +163,8 @@
 void pool_state::set_primary(const service_name& service, const member_id& primary)
 {
     auto& record = services_[service];
+    const auto* known = member(primary);
+    record.primary_started_ms = known == nullptr ? 0 : known->run.started_ms;
     if (record.primary != primary) {
         record.primary = primary;
         ++record.primary_changes;
@@ -187,9 +189,10 @@
     }
     bool promoted = settles_orders(service, reported.run.id);
     bool vacant = service.primary.empty() || member(service.primary) == nullptr;
+    bool leads_still = service.primary == reported.run.id;
     if (promoted) {
         set_promoted_primary(service, reported.service, reported.run.id);
-    } else if (vacant && !service.pending) {
+    } else if ((vacant || leads_still) && !service.pending) {
         set_primary(reported.service, reported.run.id);
     }
 }
--- a/src/libpapayabridge/core/pool_state_test.cpp
+++ b/src/libpapayabridge/core/pool_state_test.cpp
@@ -247,6 +247,21 @@
     EXPECT_EQ(origin.pool().departed_of(service_id).size(), 1U);
 }
 
+TEST(pool_state, run_in_which_the_primary_leads_is_known)
+{
+    auto origin = three_members();
+    EXPECT_EQ(origin.service().primary_started_ms, 100U);
+    // Back as a replica: it may have lost its log.
+    origin.apply(report_member{announcement("m1", 1, 200)});
+    EXPECT_EQ(origin.service().primary_started_ms, 100U);
+    auto restored = pool_state::from_snapshot(origin.pool().snapshot());
+    EXPECT_EQ(restored.services().at(service_id).primary_started_ms, 100U);
+    auto back = primary_claim("m1", 2);
+    back.run.started_ms = 200;
+    origin.apply(report_member{back});
+    EXPECT_EQ(origin.service().primary_started_ms, 200U);
+}
+
 // Until a primary is confirmed, an order of an earlier attempt may take effect.
 TEST(pool_state, attempt_after_an_order_knows_its_target)
 {
--- a/src/libpapayabridge/core/promotion_plan.cpp
+++ b/src/libpapayabridge/core/promotion_plan.cpp
@@ -62,20 +62,12 @@
     return std::max(input.copies, 1U);
 }
 
-// Whether only the last primary, which stepped down and still holds everything, may be
-// promoted by an outstanding order.
+// Whether only the last primary, which stepped down, may be promoted by an outstanding
+// order.
 bool is_former_primary_ordered(const promotion_input& input)
 {
-    if (!is_outstanding(input, input.primary) ||
-        !rival_targets(input, input.primary).empty()) {
-        return false;
-    }
-    auto newest = most_advanced_position(input);
-    return std::any_of(input.members.begin(), input.members.end(),
-                       [&](const member_report& member) {
-                           return !is_replica(input, member) && member.status &&
-                                  (!newest || member.status->received >= *newest);
-                       });
+    return input.final_position && is_outstanding(input, input.primary) &&
+           rival_targets(input, input.primary).empty();
 }
 
 } // namespace
@@ -104,6 +96,20 @@
     return newest;
 }
 
+std::optional<position> former_primary_position(const promotion_input& input,
+                                                const member_run& led)
+{
+    if (led.started_ms == 0 || !self_reported_primary(input.members).empty()) {
+        return std::nullopt;
+    }
+    for (const auto& member : input.members) {
+        if (member.run == led && member.status) {
+            return member.status->received;
+        }
+    }
+    return std::nullopt;
+}
+
 std::vector<member_id> rival_targets(const promotion_input& input,
                                      const member_id& primary)
 {
--- a/src/libpapayabridge/core/promotion_plan.hpp
+++ b/src/libpapayabridge/core/promotion_plan.hpp
@@ -58,6 +58,11 @@
 member_id self_reported_primary(const std::vector<member_report>& members);
 /// The highest term that any member knows or has been stopped at.
 term highest_known_term(const std::vector<member_report>& members);
+/// The end of the log of the last primary, if it gave up its role to nobody: no member
+/// leads, and it answers as a replica in the run \p led, in which it led. Empty
+/// otherwise.
+std::optional<position> former_primary_position(const promotion_input& input,
+                                                const member_run& led);
 /// The members, other than \p primary, whose outstanding promotion may take effect.
 std::vector<member_id> rival_targets(const promotion_input& input,
                                      const member_id& primary);
--- a/src/papayakeeper/promotion_attempt.cpp
+++ b/src/papayakeeper/promotion_attempt.cpp
@@ -353,6 +353,8 @@
     attempt current{.name = name};
     current.contacts = co_await connect_members(name, silent);
     auto input = build_promotion_input(current);
+    current.final_position = former_primary_position(input, primary_run(name));
+    input.final_position = current.final_position;
     time_point complained_since = steady_clock::now();
     auto complaints = count_complaints(name, input.primary, complained_since);
     bool lost =
--- a/src/papayakeeper/promotion_controller.cpp
+++ b/src/papayakeeper/promotion_controller.cpp
@@ -92,6 +92,16 @@
     return found == services.end() ? member_id() : found->second.primary;
 }
 
+member_run promotion_controller::primary_run(const service_name& name) const
+{
+    const auto& services = replicated_.applied().state().pool().services();
+    auto found = services.find(name);
+    if (found == services.end()) {
+        return {};
+    }
+    return {.id = found->second.primary, .started_ms = found->second.primary_started_ms};
+}
+
 const promotion* promotion_controller::pending_of(const service_name& name) const
 {
     const auto& services = replicated_.applied().state().pool().services();
--- a/src/papayakeeper/promotion_controller.hpp
+++ b/src/papayakeeper/promotion_controller.hpp
@@ -129,6 +129,8 @@
     /// receive until then would acknowledge commits that such a target lacks.
     std::vector<member_id> outstanding_targets(const attempt& current) const;
     member_id primary_of(const service_name& name) const;
+    /// The run in which the recorded primary came to lead.
+    member_run primary_run(const service_name& name) const;
     net::awaitable<result<control_index>> propose(command change);
     net::awaitable<void> sleep_for(std::chrono::milliseconds time);
 
