A leaving replica that refuses connections was taken for ended

Every decision of the keepers had gone as planned.

Cause: a leaving replica's DELETE got no answer, as the keepers' leader was frozen. The replica refused connections from then on, and whoever refuses connections counted as one that cannot acknowledge. But a leaving member receives and counts until it is gone, and it repeats its DELETE until it is answered (here 2 s and 3 s later). The target of the change went deaf; the primary went on with the leaving replica's copy: the lost commits took 17 ms to be acknowledged, as long as an answer from its region takes.

Change: a refusing replica has ended only if it is not leaving. If a leaving one, or one that has left and is not covered, may acknowledge, the primary steps down before the order, as for any replica that could not be stopped. The same assumption in find_ended_runs: a departed run at whose address nobody listens has ended 2.5 s after it departed. The rule is a function of core/promotion_plan now.

That the withdrawn replica held the copy is inferred from the time of the answers and from who else was stopped; a member does not tell who received.

--- a/src/libpapayabridge/core/promotion_plan.cpp
+++ b/src/libpapayabridge/core/promotion_plan.cpp
@@ -15,6 +15,12 @@
 // network failures last.
 constexpr std::chrono::milliseconds no_answer_timeout{500};
 
+// A member whose withdrawal got no answer repeats it within this time, and exits once it
+// is answered. Until then it receives, although it does not listen any more.
+constexpr std::chrono::milliseconds withdrawal_linger{2500};
+// A member that is cut off from the keepers gives up its withdrawal within this time.
+constexpr std::chrono::milliseconds silent_linger{8000};
+
 bool is_replica(const promotion_input& input, const member_report& member)
 {
     return member.run.id != input.primary;
@@ -170,19 +176,30 @@
     return holds_all || replicas_suffice(input) ? best->run.id : member_id();
 }
 
-// A replica at whose address nobody listens cannot acknowledge anything.
+// A replica that is not leaving and refuses connections has crashed. One that is leaving
+// stops listening first and receives until its withdrawal is answered.
 bool others_may_acknowledge(const promotion_input& input, const member_id& target)
 {
-    unsigned receiving = 0;
+    unsigned receiving = input.lost_holders;
     for (const auto& member : input.members) {
         bool is_other = is_replica(input, member) && member.run.id != target;
-        if (is_other && !is_stopped(input, member) && !member.is_stopped) {
+        bool has_ended = member.is_stopped && !member.leaving;
+        if (is_other && !is_stopped(input, member) && !has_ended) {
             ++receiving;
         }
     }
     return receiving >= required_copies(input);
 }
 
+bool has_ended(const departure_evidence& seen)
+{
+    if (seen.is_replaced) {
+        return true;
+    }
+    auto linger = seen.is_refusing ? withdrawal_linger : silent_linger;
+    return !seen.is_answering && seen.since_departure > linger;
+}
+
 bool covers_departures(const promotion_input& input)
 {
     auto primary = std::find_if(input.members.begin(), input.members.end(),
--- a/src/libpapayabridge/core/promotion_plan.hpp
+++ b/src/libpapayabridge/core/promotion_plan.hpp
@@ -81,6 +81,18 @@
 /// Whether the primary can acknowledge commits without \p target, although the other
 /// replicas were told to stop.
 bool others_may_acknowledge(const promotion_input& input, const member_id& target);
+/// What the leader found at the address of a replica that withdrew or was replaced.
+struct departure_evidence
+{
+    bool is_answering = false;
+    /// Whether the host refuses connections.
+    bool is_refusing = false;
+    /// Whether another member, or a later run, has this address.
+    bool is_replaced = false;
+    std::chrono::milliseconds since_departure{0};
+};
+/// Whether a departed replica receives nothing any more.
+bool has_ended(const departure_evidence& seen);
 /// Whether enough replicas have reached the position that the primary reports, so that no
 /// acknowledged commit depends on a replica that had ended before. False if it does not
 /// lead.
--- a/src/libpapayabridge/core/promotion_plan_test.cpp
+++ b/src/libpapayabridge/core/promotion_plan_test.cpp
@@ -87,6 +87,13 @@
     EXPECT_TRUE(others_may_acknowledge(input, member_id("a")));
     input.members[2].is_stopped = true;
     EXPECT_FALSE(others_may_acknowledge(input, member_id("a")));
+    // It stops listening before it stops receiving.
+    input.members[2].leaving = true;
+    EXPECT_TRUE(others_may_acknowledge(input, member_id("a")));
+    input.members[2].leaving = false;
+    input.lost_holders = 1;
+    EXPECT_TRUE(others_may_acknowledge(input, member_id("a")));
+    input.lost_holders = 0;
     input.members[2] = make_report("b", 9);
     EXPECT_TRUE(others_may_acknowledge(input, member_id("a")));
     input.members[2].status->stopped_below = term(2);
@@ -264,6 +271,32 @@
         {make_report("p", 9, true), make_report("a", 9), make_report("b", 8)}, 2)));
 }
 
+TEST(promotion_plan, departed_replica_has_ended_when_it_can_receive_nothing_more)
+{
+    using std::chrono::milliseconds;
+    struct row
+    {
+        bool is_answering;
+        bool is_refusing;
+        bool is_replaced;
+        int since_departure_ms;
+        bool has_ended;
+    };
+    const row rows[] = {
+        {true, false, false, 60000, false}, {false, true, false, 0, false},
+        {false, true, false, 2000, false},  {false, true, false, 3000, true},
+        {false, false, false, 3000, false}, {false, false, false, 8100, true},
+        {true, false, true, 0, true},
+    };
+    for (const auto& row : rows) {
+        EXPECT_EQ(has_ended({.is_answering = row.is_answering,
+                             .is_refusing = row.is_refusing,
+                             .is_replaced = row.is_replaced,
+                             .since_departure = milliseconds(row.since_departure_ms)}),
+                  row.has_ended);
+    }
+}
+
 TEST(promotion_plan, leaving_member_is_not_planned_target)
 {
     auto leaving = make_report("b", 9);
--- a/src/papayakeeper/departure_coverage.cpp
+++ b/src/papayakeeper/departure_coverage.cpp
@@ -6,16 +6,8 @@
 
 namespace papayabridge {
 
-namespace {
-
-// A member whose withdrawal was not confirmed to it exits within this time.
-constexpr std::chrono::seconds departure_linger{8};
-
-} // namespace
-
 // A member whose withdrawal was not confirmed to it runs on for some seconds, receives,
-// and counts for acknowledgements. One that cannot be reached has ended after
-// `departure_linger`.
+// and counts for acknowledgements.
 net::awaitable<std::vector<member_run>>
 promotion_controller::find_ended_runs(service_name name)
 {
@@ -48,8 +40,13 @@
     for (const auto& contact : contacts) {
         const auto& report = contact->report();
         auto seen_at = departures_[name].seen_at.emplace(report.run, now).first->second;
-        bool is_over = !contact->is_open() && now - seen_at > departure_linger;
-        if (report.is_stopped || is_over || is_replaced(report.run)) {
+        departure_evidence seen{
+            .is_answering = contact->is_open(),
+            .is_refusing = report.is_stopped,
+            .is_replaced = is_replaced(report.run),
+            .since_departure =
+                std::chrono::duration_cast<std::chrono::milliseconds>(now - seen_at)};
+        if (has_ended(seen)) {
             ended.push_back(report.run);
         }
     }
