An entry that had lost the keepers acknowledged commits that the next primary lacked

Cause: a primary that the keepers cannot reach acknowledges with the copy of any replica, also of one that a release starts after another member's promotion was ordered. The keepers cannot stop what they do not know, and an accepted order cannot be taken back. Entries on the primary's side of the cut passed its acknowledgement on.

Change: before an entry acknowledges a commit, every member whose promotion may take effect has to hold it. If the proof does not come in time the caller is told that the outcome is in doubt. A keeper's answer to a watch tells how old its state is.

--- a/src/include/papayabridge/keeper_client.hpp
+++ b/src/include/papayabridge/keeper_client.hpp
@@ -38,6 +38,8 @@
     /// Whether the keeper hears a leader and has applied what it told. Otherwise another
     /// keeper is to be asked.
     bool is_current = false;
+    /// The state held, when the answer was made, all that was accepted this long before.
+    std::chrono::milliseconds state_age{0};
     /// Whether the state includes everything accepted before the call. Set only if the
     /// watch asked for confirmation.
     bool is_up_to_date = false;
--- a/src/include/papayabridge/log.hpp
+++ b/src/include/papayabridge/log.hpp
@@ -103,6 +103,7 @@
     transaction_ended,
     statement_retried,
     statement_refused,
+    commit_not_proven,
     statement_in_doubt,
     statement_failed,
     statement_late,
--- a/src/libpapayabridge/core/log_events.cpp
+++ b/src/libpapayabridge/core/log_events.cpp
@@ -125,6 +125,8 @@
                   "request database member attempt kind detail needed reached"},
     log_event_row{log_event::statement_refused, "statement_refused", failure,
                   failed_fields},
+    log_event_row{log_event::commit_not_proven, "commit_not_proven", failure,
+                  "service member received targets replicas age_us"},
     log_event_row{log_event::statement_in_doubt, "statement_in_doubt", failure,
                   failed_fields},
     log_event_row{log_event::statement_failed, "statement_failed", failure,
--- a/src/libpapayabridge/net/keeper_messages.cpp
+++ b/src/libpapayabridge/net/keeper_messages.cpp
@@ -56,6 +56,9 @@
     return peer;
 }
 
+// A longer age changes no decision, and more would not fit into a time point.
+constexpr std::uint64_t max_state_age_ms = 60ULL * 60 * 1000;
+
 result<watch_update> decode_watch_update(const Json::Value& value)
 {
     if (!value.isObject() || !value["applied"].isUInt64()) {
@@ -64,6 +67,9 @@
     watch_update update;
     update.applied = control_index(number_of(value, "applied"));
     update.is_current = flag_of(value, "leader_known");
+    // Earlier versions do not tell.
+    update.state_age = std::chrono::milliseconds(
+        std::min(number_of(value, "state_age_ms"), max_state_age_ms));
     update.is_up_to_date = flag_of(value, "newest");
     if (value["snapshot"].isObject()) {
         auto state = control_state::from_snapshot(value["snapshot"]);
@@ -116,6 +122,7 @@
     value["applied"] = Json::UInt64(update.applied.value());
     // The name of earlier versions, which meant contact with a leader only.
     value["leader_known"] = update.is_current;
+    value["state_age_ms"] = Json::UInt64(update.state_age.count());
     value["newest"] = update.is_up_to_date;
     if (update.snapshot) {
         value["snapshot"] = update.snapshot->snapshot();
--- a/src/libpapayabridge/session/local_access.cpp
+++ b/src/libpapayabridge/session/local_access.cpp
@@ -141,9 +141,10 @@
 class local_transaction : public member_transaction
 {
 public:
-    local_transaction(local_access& access, pooled_connection connection)
-        : access_(access), connection_(std::move(connection)),
-          member_(connection_.member())
+    local_transaction(local_access& access, service_name service,
+                      pooled_connection connection, bool wrote)
+        : access_(access), service_(std::move(service)),
+          connection_(std::move(connection)), member_(connection_.member()), wrote_(wrote)
     {
     }
     ~local_transaction() override
@@ -164,6 +165,11 @@
         auto answer = co_await access_.exchange_statement(work, connection_, std::nullopt,
                                                           run_scope::single, after);
         settle(answer);
+        wrote_ = wrote_ || work.writes;
+        if (wrote_ && work.commits()) {
+            answer = co_await access_.verify_commit(service_, member_, work.deadline,
+                                                    std::move(answer));
+        }
         co_return answer;
     }
 
@@ -182,8 +188,10 @@
 
 private:
     local_access& access_;
+    service_name service_;
     pooled_connection connection_;
     member_id member_;
+    bool wrote_;
 };
 
 void local_access::roll_back_and_release(pooled_connection connection, bool rollback_sent)
@@ -225,8 +233,8 @@
         request.scope == run_scope::single ? request.at_least : std::nullopt,
         request.scope, phase_after(request.scope, request.work));
     if (keeps_transaction(request.scope)) {
-        auto transaction =
-            std::make_unique<local_transaction>(*this, std::move(connection));
+        auto transaction = std::make_unique<local_transaction>(
+            *this, request.service, std::move(connection), request.work.writes);
         transaction->settle(outcome.answer);
         outcome.transaction = std::move(transaction);
     } else if (outcome.answer && request.scope == run_scope::read_at_primary) {
@@ -234,9 +242,30 @@
     } else if (outcome.answer && outcome.answer.value().phase == session_phase::idle) {
         connection.release();
     }
+    if (request.scope == run_scope::single && request.work.writes) {
+        outcome.answer = co_await verify_commit(
+            request.service, member, request.work.deadline, std::move(outcome.answer));
+    }
     co_return outcome;
 }
 
+net::awaitable<result<statement_answer>>
+local_access::verify_commit(service_name service, member_id member, time_point deadline,
+                            result<statement_answer> answer)
+{
+    bool is_commit = answer && !answer.value().failure && answer.value().log_position;
+    if (verifier_ == nullptr || !is_commit) {
+        co_return answer;
+    }
+    bool is_held = co_await verifier_->verify(service, member,
+                                              *answer.value().log_position, deadline);
+    if (!is_held) {
+        co_return fail(error_kind::outcome_unknown,
+                       "no replica that may lead next is known to hold the commit");
+    }
+    co_return answer;
+}
+
 // Sends the BEGIN that the scope needs and awaits its answer. Returns the outcome if the
 // transaction did not open. The statement must not be sent together with the BEGIN: a
 // member that no longer leads refuses only the BEGIN and would run the statement by
--- a/src/libpapayabridge/session/local_access.hpp
+++ b/src/libpapayabridge/session/local_access.hpp
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "commit_verifier.hpp"
 #include "member_access.hpp"
 #include "member_pool.hpp"
 #include "statement_report.hpp"
@@ -20,6 +21,9 @@
     {
     }
 
+    /// Has commits verified before they are acknowledged.
+    void use_verifier(commit_verifier& verifier) { verifier_ = &verifier; }
+
     net::awaitable<member_outcome> run(member_request request) override;
 
 private:
@@ -35,6 +39,11 @@
     exchange_statement(const session_statement& work, pooled_connection& connection,
                        std::optional<position> at_least, run_scope scope,
                        session_phase after);
+    /// Passes the answer to a commit on, or tells that its outcome is unknown if it may
+    /// be lost in a change of primary.
+    net::awaitable<result<statement_answer>>
+    verify_commit(service_name service, member_id member, time_point deadline,
+                  result<statement_answer> answer);
     /// Rolls back the transaction on \p connection in the background and then releases
     /// the connection. \p rollback_sent tells that the ROLLBACK was already sent.
     void roll_back_and_release(pooled_connection connection, bool rollback_sent);
@@ -43,6 +52,7 @@
     member_pool& pool_;
     const member_codec& codec_;
     statement_report& report_;
+    commit_verifier* verifier_ = nullptr;
 };
 
 } // namespace papayabridge
--- a/src/libpapayabridge/session/pool_view.cpp
+++ b/src/libpapayabridge/session/pool_view.cpp
@@ -28,7 +28,14 @@
     if (published != pool.services().end()) {
         service.primary = published->second.primary;
         service.primary_changes = published->second.primary_changes;
-        service.is_changing = published->second.pending.has_value();
+        const auto& pending = published->second.pending;
+        service.is_changing = pending.has_value();
+        if (pending) {
+            service.promotion_targets = pending->outstanding;
+            if (!pending->target.empty()) {
+                service.promotion_targets.push_back(pending->target);
+            }
+        }
     }
     return service;
 }
--- a/src/libpapayabridge/session/session_entry.cpp
+++ b/src/libpapayabridge/session/session_entry.cpp
@@ -65,6 +65,7 @@
       keepers_(executor_, clients_, settings_.seeds),
       pool_(executor_, protocols_.member_protocol),
       local_(executor_, pool_, protocols_.member_protocol, report_),
+      verifier_(executor_, pool_, protocols_.member_protocol),
       gate_(executor_, local_, pool_),
       members_({.executor = executor_,
                 .self = settings_.id,
@@ -80,6 +81,7 @@
                 .report = report_},
       acceptor_(runtime.control_context()), incarnation_(new_incarnation())
 {
+    local_.use_verifier(verifier_);
 }
 
 session_entry::~session_entry() = default;
@@ -206,12 +208,15 @@
             followed = keepers_.current_keeper();
             log_followed_keeper(followed);
         }
+        auto asked = steady_clock::now();
         auto update = co_await keepers_.watch(from, watch_wait, self, !state_confirmed_);
         if (update) {
             bool is_current = update.value().is_current;
+            auto state_age = update.value().state_age;
             apply_update(std::move(update.value()));
             if (is_current && state_confirmed_) {
                 state_current_at_ = steady_clock::now();
+                verifier_.record_complete_view(asked - state_age);
             }
         } else {
             co_await sleep_for(watch_retry);
@@ -287,6 +292,7 @@
     services_.view = view;
     pool_.update(services_.view);
     gate_.update(services_.view);
+    verifier_.update(services_.view);
     members_.update(services_.view);
     update_keeper_endpoints();
 }
--- a/src/libpapayabridge/session/session_entry.hpp
+++ b/src/libpapayabridge/session/session_entry.hpp
@@ -70,6 +70,7 @@
     member_pool pool_;
     statement_report report_;
     local_access local_;
+    commit_verifier verifier_;
     statement_gate gate_;
     gated_access members_;
     std::optional<gate_server> gate_server_;
--- a/src/papayakeeper/keeper_service.cpp
+++ b/src/papayakeeper/keeper_service.cpp
@@ -110,6 +110,7 @@
     co_await applied.wait_for_command_after(from, deadline);
     auto update = applied.update_after(from);
     update.is_current = replicated_.is_current();
+    update.state_age = replicated_.state_age().value_or(std::chrono::milliseconds(0));
     update.is_up_to_date = is_up_to_date;
     rpc_message answer;
     answer.body = to_value(update);
