--- a/src/libpapayabridge/core/commit_proof.cpp
+++ b/src/libpapayabridge/core/commit_proof.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// Keepers tell entries three times a second that nothing has changed. An order is sent
-// only after a primary was unusable for about as long.
+// Longer than it takes to hear from the keepers that nothing has changed, shorter than a
+// primary is unusable before another is ordered.
 constexpr std::chrono::milliseconds max_age{750};
 
 } // namespace
