--- a/src/libpapayabridge/core/pool_state.cpp
+++ b/src/libpapayabridge/core/pool_state.cpp
@@ -164,7 +164,9 @@
 {
     auto& record = services_[service];
     const auto* known = member(primary);
-    record.primary_started_ms = known == nullptr ? 0 : known->run.started_ms;
+    // A run that does not claim the role may have started since.
+    bool is_its_run = known != nullptr && known->claims_primary;
+    record.primary_started_ms = is_its_run ? known->run.started_ms : 0;
     if (record.primary != primary) {
         record.primary = primary;
         ++record.primary_changes;
@@ -248,7 +250,9 @@
     if (pending != change.fencing_token) {
         return;
     }
-    bool promoted = service.pending && service.pending->target == change.primary;
+    // A primary that was only ordered again covers nothing.
+    bool promoted = service.pending && service.pending->target == change.primary &&
+                    service.primary != change.primary;
     if (promoted) {
         set_promoted_primary(service, change.service, change.primary);
         return;
--- a/src/libpapayabridge/core/pool_state_test.cpp
+++ b/src/libpapayabridge/core/pool_state_test.cpp
@@ -247,6 +247,20 @@
     EXPECT_EQ(origin.pool().departed_of(service_id).size(), 1U);
 }
 
+TEST(pool_state, primary_ordered_again_covers_nothing)
+{
+    auto origin = three_members();
+    origin.apply(remove_member{.run = {.id = member_id("m3"), .started_ms = 100}});
+    origin.apply(begin_promotion{.service = service_id});
+    auto token = control_index(origin.index);
+    origin.apply(choose_target{
+        .service = service_id, .fencing_token = token, .target = member_id("m1")});
+    origin.apply(confirm_primary{
+        .service = service_id, .fencing_token = token, .primary = member_id("m1")});
+    EXPECT_EQ(origin.pool().departed_of(service_id).size(), 1U);
+    EXPECT_FALSE(origin.service().pending);
+}
+
 TEST(pool_state, run_in_which_the_primary_leads_is_known)
 {
     auto origin = three_members();
--- a/src/libpapayabridge/core/promotion_plan.cpp
+++ b/src/libpapayabridge/core/promotion_plan.cpp
@@ -15,9 +15,6 @@
 // network failures last.
 constexpr std::chrono::milliseconds no_answer_timeout{500};
 
-// A member whose withdrawal got no answer repeats it within this time, and exits once it
-// is answered. Until then it receives, although it does not listen any more.
-constexpr std::chrono::milliseconds withdrawal_linger{2500};
 // A member that is cut off from the keepers gives up its withdrawal within this time.
 constexpr std::chrono::milliseconds silent_linger{8000};
 
@@ -180,7 +177,7 @@
 // stops listening first and receives until its withdrawal is answered.
 bool others_may_acknowledge(const promotion_input& input, const member_id& target)
 {
-    unsigned receiving = input.lost_holders;
+    unsigned receiving = 0;
     for (const auto& member : input.members) {
         bool is_other = is_replica(input, member) && member.run.id != target;
         bool has_ended = member.is_stopped && !member.leaving;
@@ -193,11 +190,10 @@
 
 bool has_ended(const departure_evidence& seen)
 {
-    if (seen.is_replaced) {
+    if (seen.is_replaced || seen.is_refusing) {
         return true;
     }
-    auto linger = seen.is_refusing ? withdrawal_linger : silent_linger;
-    return !seen.is_answering && seen.since_departure > linger;
+    return !seen.is_answering && seen.since_departure > silent_linger;
 }
 
 bool covers_departures(const promotion_input& input)
--- a/src/libpapayabridge/session/commit_verifier.hpp
+++ b/src/libpapayabridge/session/commit_verifier.hpp
@@ -52,8 +52,10 @@
                                      bool through_gates);
     net::awaitable<std::optional<member_status>>
     query_status(service_name service, viewed_member replica, bool through_gates);
-    net::awaitable<std::optional<member_status>>
+    net::awaitable<result<statement_answer>>
     exchange_status(member_connection& connection, time_point deadline);
+    std::optional<member_status> status_in(const member_id& member,
+                                           const result<statement_answer>& answer) const;
     net::awaitable<void> wait_for_answer(time_point deadline);
 
     net::any_io_executor executor_;
--- a/src/papayakeeper/promotion_attempt.cpp
+++ b/src/papayakeeper/promotion_attempt.cpp
@@ -245,7 +245,7 @@
     if (others_may_acknowledge(build_promotion_input(current), target)) {
         co_await step_down_primary(current);
         bool holds_all = false;
-        if (current.final_position) {
+        if (current.final_position || is_waiting) {
             holds_all = co_await wait_for_position(
                 current, target, *current.final_position, catch_up_timeout);
         }
@@ -264,7 +264,7 @@
     if (steps_down) {
         co_await step_down_primary(current);
     }
-    if (current.final_position) {
+    if (current.final_position || is_waiting) {
         member_id any_replica;
         static_cast<void>(co_await wait_for_position(
             current, any_replica, *current.final_position, in_flight_time));
@@ -396,12 +396,15 @@
     }
 }
 
-// A primary that stepped down holds every commit, and without it there is none. Replicas
-// stay stopped while the order of an earlier attempt may take effect.
+// A primary that stepped down holds every commit, and without it there is none. One that
+// leads while an order may take effect, but not be completed, serves with the copy of
+// that order's target. Otherwise replicas stay stopped until it cannot take effect any
+// more.
 net::awaitable<void> promotion_controller::abandon(attempt& current, member_id primary)
 {
     bool kept = false;
-    if (current.final_position) {
+    bool is_waiting = !outstanding_targets(current).empty() && answers(current, primary);
+    if (current.final_position || is_waiting) {
         kept = co_await keep_primary(current, primary);
     }
     if (!kept && outstanding_targets(current).empty()) {
--- a/src/papayakeeper/promotion_orders.cpp
+++ b/src/papayakeeper/promotion_orders.cpp
@@ -26,6 +26,10 @@
 // Shorter than the shortest election timeout: voters that accepted a proposal elect no
 // other leader for this long after it was made.
 constexpr std::chrono::milliseconds lead_validity{300};
+// A replica that could not be told to receive again in one round may have been busy.
+constexpr unsigned resume_rounds = 3;
+// Polls without an answer after which a primary counts as lost.
+constexpr unsigned max_missed_polls = 3;
 
 } // namespace
 
@@ -40,24 +44,33 @@
 }
 
 // A resume that reached a replica after another leader had stopped it would let it
-// receive during that leader's attempt.
+// receive during that leader's attempt. So each round is short and proves the lead first.
 net::awaitable<bool> promotion_controller::resume_receiving(attempt& current)
 {
-    if (!co_await prove_lead()) {
-        co_return false;
-    }
-    auto deadline = lead_proved_at_ + lead_validity;
     std::string resumed;
-    contact_action resume = [&,
-                             deadline](member_contact& contact) -> net::awaitable<void> {
-        bool stopped = contact.report().status &&
-                       contact.report().status->stopped_below.value() != 0;
-        if (stopped) {
-            resumed += (resumed.empty() ? "" : " ") + contact.report().run.id.str();
-            co_await contact.resume_receiving(deadline);
+    for (unsigned round = 0; round < resume_rounds; ++round) {
+        if (!co_await prove_lead()) {
+            co_return false;
         }
-    };
-    co_await run_on_each(current.contacts, std::move(resume));
+        auto deadline = lead_proved_at_ + lead_validity;
+        std::vector<std::string> stopped;
+        contact_action resume =
+            [&, deadline](member_contact& contact) -> net::awaitable<void> {
+            const auto& status = contact.report().status;
+            bool is_stopped = status && status->stopped_below.value() != 0;
+            if (is_stopped || (!status && contact.is_open())) {
+                stopped.push_back(contact.report().run.id.str());
+                co_await contact.resume_receiving(deadline);
+            }
+        };
+        co_await run_on_each(current.contacts, std::move(resume));
+        if (stopped.empty()) {
+            break;
+        }
+        for (const auto& id : stopped) {
+            resumed += (resumed.empty() ? "" : " ") + id;
+        }
+    }
     if (!resumed.empty()) {
         log_line(log_event::replicas_resumed,
                  {{"service", current.name.str()},
@@ -164,6 +177,7 @@
                                                           std::vector<member_id> rivals)
 {
     auto began = steady_clock::now();
+    unsigned missed_polls = 0;
     if (!rivals.empty()) {
         current.receiving = rivals.size() == 1 ? rivals.front() : member_id();
         co_await stop_receiving(current);
@@ -175,16 +189,21 @@
         auto deadline = steady_clock::now() + member_reach_timeout;
         contact_action refresh =
             [deadline](member_contact& contact) -> net::awaitable<void> {
-            co_await contact.refresh_status(deadline);
+            if (contact.is_open()) {
+                co_await contact.refresh_status(deadline);
+            } else {
+                co_await contact.connect(deadline);
+            }
         };
         co_await run_on_each(current.contacts, std::move(refresh));
+        missed_polls = answers(current, primary) ? 0 : missed_polls + 1;
         auto leader = self_reported_primary(build_promotion_input(current).members);
         bool is_over = elapsed_since(began) >= order_effect_time;
         if (leader == primary && (rivals.empty() || is_over)) {
             co_return true;
         }
         bool is_replaced = !leader.empty() && leader != primary;
-        if (is_over || is_replaced || !answers(current, primary)) {
+        if (is_over || is_replaced || missed_polls >= max_missed_polls) {
             co_return false;
         }
         if (!rivals.empty()) {
