--- a/src/papayakeeper/promotion_attempt.cpp
+++ b/src/papayakeeper/promotion_attempt.cpp
@@ -245,7 +245,7 @@
     if (others_may_acknowledge(build_promotion_input(current), target)) {
         co_await step_down_primary(current);
         bool holds_all = false;
-        if (current.final_position || is_waiting) {
+        if (current.final_position) {
             holds_all = co_await wait_for_position(
                 current, target, *current.final_position, catch_up_timeout);
         }
@@ -264,7 +264,7 @@
     if (steps_down) {
         co_await step_down_primary(current);
     }
-    if (current.final_position || is_waiting) {
+    if (current.final_position) {
         member_id any_replica;
         static_cast<void>(co_await wait_for_position(
             current, any_replica, *current.final_position, in_flight_time));
