--- a/src/libpapayabridge/core/commit_proof_test.cpp
+++ b/src/libpapayabridge/core/commit_proof_test.cpp
@@ -10,11 +10,7 @@
 
 std::vector<member_id> ids(const std::vector<std::string>& names)
 {
-    std::vector<member_id> result;
-    for (const auto& name : names) {
-        result.emplace_back(name);
-    }
-    return result;
+    return {names.begin(), names.end()};
 }
 
 position at(std::uint64_t of_term, std::uint64_t index)
