--- a/src/libpapayabridge/core/commit_proof.hpp
+++ b/src/libpapayabridge/core/commit_proof.hpp
@@ -30,7 +30,7 @@
     bool is_changing = false;
     /// Members whose promotion may take effect.
     std::vector<member_id> targets;
-    /// How long ago this was known to be all.
+    /// How long ago the entry knew of everything that the keepers had accepted.
     std::chrono::milliseconds age{0};
 };
 
@@ -41,12 +41,13 @@
     std::size_t count = 0;
 };
 
+/// The replicas that have to hold a commit before it is acknowledged.
 commit_proof required_proof(const commit_situation& situation);
 
-/// Whether a proof is there.
+/// Whether the replicas are known to hold a commit.
 enum class proof_state : std::uint8_t
 {
-    open,       ///< Replicas that may hold the commit are not known to.
+    open,       ///< Too few replicas are known to hold it; others may.
     holds,      ///< Enough replicas hold it.
     impossible, ///< A later primary leads at too many replicas.
 };
--- a/src/libpapayabridge/core/promotion_plan.cpp
+++ b/src/libpapayabridge/core/promotion_plan.cpp
@@ -180,8 +180,8 @@
     unsigned receiving = 0;
     for (const auto& member : input.members) {
         bool is_other = is_replica(input, member) && member.run.id != target;
-        bool has_ended = member.is_stopped && !member.leaving;
-        if (is_other && !is_stopped(input, member) && !has_ended) {
+        bool has_crashed = member.is_stopped && !member.leaving;
+        if (is_other && !is_stopped(input, member) && !has_crashed) {
             ++receiving;
         }
     }
--- a/src/libpapayabridge/session/commit_verifier.cpp
+++ b/src/libpapayabridge/session/commit_verifier.cpp
@@ -67,8 +67,9 @@
     return situation;
 }
 
-proof_state commit_verifier::check(const viewed_service& service,
-                                   const commit_proof& proof, position committed) const
+proof_state commit_verifier::evaluate_proof(const viewed_service& service,
+                                            const commit_proof& proof,
+                                            position committed) const
 {
     std::map<member_id, position> held;
     for (const auto& member : service.members) {
@@ -98,7 +99,7 @@
             proof = {.replicas = {situation.primary}, .count = 1};
         }
         was_required = proof.count != 0;
-        auto state = check(*known, proof, committed);
+        auto state = evaluate_proof(*known, proof, committed);
         if (state == proof_state::holds) {
             co_return true;
         }
@@ -112,13 +113,14 @@
                       {"age_us", log_us(situation.age)}});
             co_return false;
         }
-        ask(service, *known, proof);
+        question_replicas(service, *known, proof);
         co_await wait_for_answer(deadline);
     }
 }
 
-void commit_verifier::ask(const service_name& name, const viewed_service& service,
-                          const commit_proof& proof)
+void commit_verifier::question_replicas(const service_name& name,
+                                        const viewed_service& service,
+                                        const commit_proof& proof)
 {
     auto now = steady_clock::now();
     for (const auto& id : proof.replicas) {
@@ -129,15 +131,16 @@
         auto& witness = witnesses_[replica->run];
         if (!witness.is_asked && now >= witness.next_question) {
             witness.is_asked = true;
-            net::co_spawn(executor_, ask_replica(name, *replica, service.through_gates),
+            net::co_spawn(executor_,
+                          question_replica(name, *replica, service.through_gates),
                           net::detached);
         }
     }
 }
 
-net::awaitable<void> commit_verifier::ask_replica(service_name service,
-                                                  viewed_member replica,
-                                                  bool through_gates)
+net::awaitable<void> commit_verifier::question_replica(service_name service,
+                                                       viewed_member replica,
+                                                       bool through_gates)
 {
     auto status = co_await query_status(std::move(service), replica, through_gates);
     auto& witness = witnesses_[replica.run];
--- a/src/libpapayabridge/session/commit_verifier.hpp
+++ b/src/libpapayabridge/session/commit_verifier.hpp
@@ -24,7 +24,8 @@
 
     /// Adopts the services and members of \p view.
     void update(std::shared_ptr<const pool_view> view);
-    /// Records that the view held at \p when all that the keepers had accepted.
+    /// Records that the view included, at \p when, everything that the keepers had
+    /// accepted.
     void record_complete_view(time_point when);
     /// Whether the commit at \p committed, which \p member has acknowledged, is held by
     /// the replicas that have to hold it. False if that is not known at \p deadline.
@@ -44,12 +45,12 @@
 
     commit_situation describe(const viewed_service& service,
                               const member_id& member) const;
-    proof_state check(const viewed_service& service, const commit_proof& proof,
-                      position committed) const;
-    void ask(const service_name& name, const viewed_service& service,
-             const commit_proof& proof);
-    net::awaitable<void> ask_replica(service_name service, viewed_member replica,
-                                     bool through_gates);
+    proof_state evaluate_proof(const viewed_service& service, const commit_proof& proof,
+                               position committed) const;
+    void question_replicas(const service_name& name, const viewed_service& service,
+                           const commit_proof& proof);
+    net::awaitable<void> question_replica(service_name service, viewed_member replica,
+                                          bool through_gates);
     net::awaitable<std::optional<member_status>>
     query_status(service_name service, viewed_member replica, bool through_gates);
     net::awaitable<result<statement_answer>>
--- a/src/libpapayabridge/session/session_entry.cpp
+++ b/src/libpapayabridge/session/session_entry.cpp
@@ -155,13 +155,6 @@
 
 // --- Following the keepers ---
 
-bool session_entry::is_registered() const
-{
-    const auto* known = state_.entry(settings_.id);
-    return known != nullptr && known->incarnation == incarnation_ &&
-           known->condition == entry_condition::up;
-}
-
 net::awaitable<void> session_entry::register_self()
 {
     command change = register_entry{
--- a/src/libpapayabridge/session/session_entry.hpp
+++ b/src/libpapayabridge/session/session_entry.hpp
@@ -59,7 +59,12 @@
     void log_keeper_contact(const result<watch_update>& update);
     void log_member_changes(const pool_view& before, const pool_view& now) const;
     void close_sessions(bool include_transactions, bool include_running);
-    bool is_registered() const;
+    bool is_registered() const
+    {
+        const auto* known = state_.entry(settings_.id);
+        return known != nullptr && known->incarnation == incarnation_ &&
+               known->condition == entry_condition::up;
+    }
 
     daemon_runtime& runtime_;
     session_settings settings_;
--- a/src/papayakeeper/promotion_attempt.cpp
+++ b/src/papayakeeper/promotion_attempt.cpp
@@ -391,7 +391,7 @@
     if (target.empty()) {
         log_not_safe(current);
         co_await abandon(current, input.primary);
-    } else if (co_await choose(current, target) && is_leading()) {
+    } else if (co_await record_target(current, target) && is_leading()) {
         co_await order_promotion(current, target);
     }
 }
@@ -403,8 +403,9 @@
 net::awaitable<void> promotion_controller::abandon(attempt& current, member_id primary)
 {
     bool kept = false;
-    bool is_waiting = !outstanding_targets(current).empty() && answers(current, primary);
-    if (current.final_position || is_waiting) {
+    bool can_serve_meanwhile =
+        !outstanding_targets(current).empty() && is_answering(current, primary);
+    if (current.final_position || can_serve_meanwhile) {
         kept = co_await keep_primary(current, primary);
     }
     if (!kept && outstanding_targets(current).empty()) {
--- a/src/papayakeeper/promotion_controller.hpp
+++ b/src/papayakeeper/promotion_controller.hpp
@@ -111,9 +111,9 @@
     /// Waits until \p primary leads and the order of no rival can take effect any more.
     net::awaitable<bool> outlast_orders(attempt& current, member_id primary,
                                         std::vector<member_id> rivals);
-    static bool answers(const attempt& current, const member_id& member);
+    static bool is_answering(const attempt& current, const member_id& member);
     /// Records the target of the attempt's order, before it is sent.
-    net::awaitable<bool> choose(const attempt& current, member_id target);
+    net::awaitable<bool> record_target(const attempt& current, member_id target);
     net::awaitable<promotion_answer> send_order(const attempt& current, member_id target);
     net::awaitable<void> order_promotion(attempt& current, member_id target);
     net::awaitable<bool> has_taken_over(const attempt& current, member_id target,
--- a/src/papayakeeper/promotion_orders.cpp
+++ b/src/papayakeeper/promotion_orders.cpp
@@ -40,7 +40,7 @@
     }
     command barrier = read_barrier{};
     auto accepted = co_await propose(std::move(barrier));
-    co_return accepted&& elapsed_since(lead_proved_at_) < lead_validity;
+    co_return bool(accepted) && elapsed_since(lead_proved_at_) < lead_validity;
 }
 
 // A resume that reached a replica after another leader had stopped it would let it
@@ -102,8 +102,8 @@
     co_return true;
 }
 
-net::awaitable<bool> promotion_controller::choose(const attempt& current,
-                                                  member_id target)
+net::awaitable<bool> promotion_controller::record_target(const attempt& current,
+                                                         member_id target)
 {
     command choice = choose_target{.service = current.name,
                                    .fencing_token = current.token,
@@ -122,7 +122,7 @@
         answer = co_await port_.promote(current.name, target, holder_, current.token);
     }
     if (answer == promotion_answer::refused) {
-        static_cast<void>(co_await choose(current, member_id()));
+        static_cast<void>(co_await record_target(current, member_id()));
     }
     co_return answer;
 }
@@ -137,7 +137,7 @@
     auto rivals = rival_targets(build_promotion_input(current), primary);
     bool may_take_effect = !rivals.empty() || current.final_position ||
                            !outstanding_targets(current).empty();
-    if (may_take_effect && !co_await choose(current, primary)) {
+    if (may_take_effect && !co_await record_target(current, primary)) {
         co_return false;
     }
     auto answer = co_await send_order(current, primary);
@@ -162,7 +162,7 @@
     co_return bool(confirmed);
 }
 
-bool promotion_controller::answers(const attempt& current, const member_id& member)
+bool promotion_controller::is_answering(const attempt& current, const member_id& member)
 {
     return std::any_of(
         current.contacts.begin(), current.contacts.end(), [&](const auto& contact) {
@@ -196,7 +196,7 @@
             }
         };
         co_await run_on_each(current.contacts, std::move(refresh));
-        missed_polls = answers(current, primary) ? 0 : missed_polls + 1;
+        missed_polls = is_answering(current, primary) ? 0 : missed_polls + 1;
         auto leader = self_reported_primary(build_promotion_input(current).members);
         bool is_over = elapsed_since(began) >= order_effect_time;
         if (leader == primary && (rivals.empty() || is_over)) {
