core/ and session/ by subject, no line of logic changed

core/ held 111 files in one folder, session/ 31. Client accounts and limits would have added a dozen more, and nothing told which part a decision belongs to.

core/ is now consensus, control, promotion, admission, routing, sessions and observability, with errors, ids and JSON beside them; session/ is callers, members and gate, with what puts an entry together beside them. The folders of core do not include each other in a circle.

--- a/src/libpapayabridge/core/admission.cpp
+++ b/src/libpapayabridge/core/admission/admission.cpp
@@ -1,5 +1,5 @@
-#include "core/admission_baselines.hpp"
-#include "core/admission_shares.hpp"
+#include "core/admission/admission_baselines.hpp"
+#include "core/admission/admission_shares.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/libpapayabridge/core/admission_baselines.cpp
+++ b/src/libpapayabridge/core/admission/admission_baselines.cpp
@@ -1,4 +1,4 @@
-#include "core/admission_baselines.hpp"
+#include "core/admission/admission_baselines.hpp"
 
 namespace papayabridge {
 
--- a/src/libpapayabridge/core/admission_baselines.hpp
+++ b/src/libpapayabridge/core/admission/admission_baselines.hpp
@@ -3,7 +3,7 @@
 
 #pragma once
 
-#include "core/admission_index.hpp"
+#include "core/admission/admission_index.hpp"
 
 namespace papayabridge {
 
--- a/src/libpapayabridge/core/admission_callers.cpp
+++ b/src/libpapayabridge/core/admission/admission_callers.cpp
@@ -1,4 +1,4 @@
-#include "core/admission_callers.hpp"
+#include "core/admission/admission_callers.hpp"
 
 #include <algorithm>
 
--- a/src/libpapayabridge/core/admission_index.cpp
+++ b/src/libpapayabridge/core/admission/admission_index.cpp
@@ -1,4 +1,4 @@
-#include "core/admission_index.hpp"
+#include "core/admission/admission_index.hpp"
 
 namespace papayabridge {
 
--- a/src/libpapayabridge/core/admission_shares.cpp
+++ b/src/libpapayabridge/core/admission/admission_shares.cpp
@@ -1,4 +1,4 @@
-#include "core/admission_shares.hpp"
+#include "core/admission/admission_shares.hpp"
 
 #include <algorithm>
 
--- a/src/libpapayabridge/core/admission_shares.hpp
+++ b/src/libpapayabridge/core/admission/admission_shares.hpp
@@ -4,8 +4,8 @@
 
 #pragma once
 
-#include "core/admission_callers.hpp"
-#include "core/admission_index.hpp"
+#include "core/admission/admission_callers.hpp"
+#include "core/admission/admission_index.hpp"
 
 namespace papayabridge {
 
--- a/src/libpapayabridge/core/departed_keepers_test.cpp
+++ b/src/libpapayabridge/core/consensus/departed_keepers_test.cpp
@@ -1,4 +1,4 @@
-#include "core/departed_keepers.hpp"
+#include "core/consensus/departed_keepers.hpp"
 
 #include <gtest/gtest.h>
 
--- a/src/libpapayabridge/core/applied_freshness_test.cpp
+++ b/src/libpapayabridge/core/control/applied_freshness_test.cpp
@@ -1,4 +1,4 @@
-#include "core/applied_freshness.hpp"
+#include "core/control/applied_freshness.hpp"
 
 #include <gtest/gtest.h>
 
--- a/src/libpapayabridge/core/control_codec_test.cpp
+++ b/src/libpapayabridge/core/control/control_codec_test.cpp
@@ -1,4 +1,4 @@
-#include "consensus_codec.hpp"
+#include "core/consensus/consensus_codec.hpp"
 
 #include <gtest/gtest.h>
 #include <papayabridge/control_state.hpp>
--- a/src/libpapayabridge/core/error_table_page_test.cpp
+++ b/src/libpapayabridge/core/observability/error_table_page_test.cpp
@@ -1,4 +1,4 @@
-#include "core/page_text_test.hpp"
+#include "core/observability/page_text_test.hpp"
 
 #include <gtest/gtest.h>
 #include <papayabridge/error.hpp>
--- a/src/libpapayabridge/core/log_budget_test.cpp
+++ b/src/libpapayabridge/core/observability/log_budget_test.cpp
@@ -1,4 +1,4 @@
-#include "core/log_budget.hpp"
+#include "core/observability/log_budget.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/src/libpapayabridge/core/log_queue_test.cpp
+++ b/src/libpapayabridge/core/observability/log_queue_test.cpp
@@ -1,4 +1,4 @@
-#include "core/log_queue.hpp"
+#include "core/observability/log_queue.hpp"
 
 #include <gtest/gtest.h>
 
--- a/src/libpapayabridge/core/log_story_test.cpp
+++ b/src/libpapayabridge/core/observability/log_story_test.cpp
@@ -1,4 +1,4 @@
-#include "core/log_story.hpp"
+#include "core/observability/log_story.hpp"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
--- a/src/libpapayabridge/core/metric_table_test.cpp
+++ b/src/libpapayabridge/core/observability/metric_table_test.cpp
@@ -1,5 +1,5 @@
-#include "core/metric_table.hpp"
-#include "core/page_text_test.hpp"
+#include "core/observability/metric_table.hpp"
+#include "core/observability/page_text_test.hpp"
 
 #include <gtest/gtest.h>
 #include <papayabridge/metrics.hpp>
--- a/src/libpapayabridge/core/connection_share_test.cpp
+++ b/src/libpapayabridge/core/routing/connection_share_test.cpp
@@ -1,4 +1,4 @@
-#include "core/connection_share.hpp"
+#include "core/routing/connection_share.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/src/libpapayabridge/core/freshness.cpp
+++ b/src/libpapayabridge/core/routing/freshness.cpp
@@ -1,4 +1,4 @@
-#include "core/freshness.hpp"
+#include "core/routing/freshness.hpp"
 
 #include <algorithm>
 
--- a/src/libpapayabridge/core/gate_placement_test.cpp
+++ b/src/libpapayabridge/core/routing/gate_placement_test.cpp
@@ -1,4 +1,4 @@
-#include "core/gate_placement.hpp"
+#include "core/routing/gate_placement.hpp"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
--- a/src/libpapayabridge/core/lag_avoidance_test.cpp
+++ b/src/libpapayabridge/core/routing/lag_avoidance_test.cpp
@@ -1,4 +1,4 @@
-#include "core/lag_avoidance.hpp"
+#include "core/routing/lag_avoidance.hpp"
 
 #include <gtest/gtest.h>
 
--- a/src/libpapayabridge/core/leaving_clock_test.cpp
+++ b/src/libpapayabridge/core/routing/leaving_clock_test.cpp
@@ -1,4 +1,4 @@
-#include "core/leaving_clock.hpp"
+#include "core/routing/leaving_clock.hpp"
 
 #include <gtest/gtest.h>
 
--- a/src/libpapayabridge/entry/database_shard.hpp
+++ b/src/libpapayabridge/entry/database_shard.hpp
@@ -7,8 +7,8 @@
 #pragma once
 
 #include "change_notifier.hpp"
-#include "core/coverage.hpp"
-#include "core/freshness.hpp"
+#include "core/promotion/coverage.hpp"
+#include "core/routing/freshness.hpp"
 #include "member_gate.hpp"
 
 #include <functional>
--- a/src/libpapayabridge/session/statement_runner.hpp
+++ b/src/libpapayabridge/session/callers/statement_runner.hpp
@@ -4,9 +4,9 @@
 
 #pragma once
 
-#include "core/position_samples.hpp"
-#include "member_access.hpp"
-#include "member_pool.hpp"
+#include "core/routing/position_samples.hpp"
+#include "session/members/member_access.hpp"
+#include "session/members/member_pool.hpp"
 #include "statement_report.hpp"
 
 namespace papayabridge {
--- a/src/libpapayabridge/session/gate_server.cpp
+++ b/src/libpapayabridge/session/gate/gate_server.cpp
@@ -1,6 +1,6 @@
 #include "gate_server.hpp"
 
-#include "core/position_samples.hpp"
+#include "core/routing/position_samples.hpp"
 #include "net/tcp_options.hpp"
 #include "rpc/frame.hpp"
 
--- a/src/libpapayabridge/session/gate_wire.hpp
+++ b/src/libpapayabridge/session/gate/gate_wire.hpp
@@ -7,7 +7,7 @@
 
 #pragma once
 
-#include "member_access.hpp"
+#include "session/members/member_access.hpp"
 
 namespace papayabridge {
 
--- a/src/libpapayabridge/session/gate_wire_test.cpp
+++ b/src/libpapayabridge/session/gate/gate_wire_test.cpp
@@ -1,4 +1,4 @@
-#include "session/gate_wire.hpp"
+#include "session/gate/gate_wire.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/src/libpapayabridge/session/gated_access.cpp
+++ b/src/libpapayabridge/session/gate/gated_access.cpp
@@ -1,6 +1,6 @@
 #include "gated_access.hpp"
 
-#include "member_pool.hpp"
+#include "session/members/member_pool.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/libpapayabridge/session/gated_access.hpp
+++ b/src/libpapayabridge/session/gate/gated_access.hpp
@@ -23,7 +23,7 @@
     member_pool& pool;
 };
 
-/// Chooses gates by core/gate_placement. Must be used on one thread.
+/// Chooses gates by core/routing/gate_placement. Must be used on one thread.
 class gated_access : public member_access
 {
 public:
--- a/src/libpapayabridge/session/statement_gate.hpp
+++ b/src/libpapayabridge/session/gate/statement_gate.hpp
@@ -8,8 +8,8 @@
 
 #pragma once
 
-#include "member_access.hpp"
-#include "pool_view.hpp"
+#include "session/members/member_access.hpp"
+#include "session/pool_view.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <papayabridge/admission.hpp>
--- a/src/libpapayabridge/session/statement_gate_test.cpp
+++ b/src/libpapayabridge/session/gate/statement_gate_test.cpp
@@ -1,9 +1,9 @@
 // The queue of a gate before a member that is played by a mock, and the decisions that it
 // takes under a flood.
 
-#include "session/statement_gate.hpp"
+#include "session/gate/statement_gate.hpp"
 
-#include "session/member_pool.hpp"
+#include "session/members/member_pool.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/src/libpapayabridge/session/commit_verifier.hpp
+++ b/src/libpapayabridge/session/members/commit_verifier.hpp
@@ -1,10 +1,10 @@
 /// \file commit_verifier.hpp
 /// Asks replicas whether they hold a commit before it is acknowledged, where
-/// core/commit_proof.hpp requires it.
+/// core/promotion/commit_proof.hpp requires it.
 
 #pragma once
 
-#include "core/commit_proof.hpp"
+#include "core/promotion/commit_proof.hpp"
 #include "member_pool.hpp"
 
 #include <set>
--- a/src/libpapayabridge/session/local_access.hpp
+++ b/src/libpapayabridge/session/members/local_access.hpp
@@ -6,7 +6,7 @@
 #include "commit_verifier.hpp"
 #include "member_access.hpp"
 #include "member_pool.hpp"
-#include "statement_report.hpp"
+#include "session/callers/statement_report.hpp"
 
 namespace papayabridge {
 
--- a/src/libpapayabridge/session/member_access.hpp
+++ b/src/libpapayabridge/session/members/member_access.hpp
@@ -5,7 +5,7 @@
 
 #pragma once
 
-#include "core/session_setup.hpp"
+#include "core/sessions/session_setup.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <memory>
--- a/src/libpapayabridge/session/member_connection.hpp
+++ b/src/libpapayabridge/session/members/member_connection.hpp
@@ -3,7 +3,7 @@
 
 #pragma once
 
-#include "core/session_setup.hpp"
+#include "core/sessions/session_setup.hpp"
 #include "net/deadline_socket.hpp"
 
 #include <papayabridge/statement_codec.hpp>
--- a/src/libpapayabridge/session/member_pool.cpp
+++ b/src/libpapayabridge/session/members/member_pool.cpp
@@ -1,6 +1,6 @@
 #include "member_pool.hpp"
 
-#include "core/connection_share.hpp"
+#include "core/routing/connection_share.hpp"
 
 #include <papayabridge/log.hpp>
 
--- a/src/libpapayabridge/session/member_pool.hpp
+++ b/src/libpapayabridge/session/members/member_pool.hpp
@@ -4,10 +4,10 @@
 
 #pragma once
 
-#include "core/lag_avoidance.hpp"
-#include "core/leaving_clock.hpp"
+#include "core/routing/lag_avoidance.hpp"
+#include "core/routing/leaving_clock.hpp"
 #include "member_connection.hpp"
-#include "pool_view.hpp"
+#include "session/pool_view.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <list>
--- a/src/libpapayabridge/session/pool_view.hpp
+++ b/src/libpapayabridge/session/pool_view.hpp
@@ -3,7 +3,7 @@
 
 #pragma once
 
-#include "core/gate_placement.hpp"
+#include "core/routing/gate_placement.hpp"
 
 #include <optional>
 #include <papayabridge/control_state.hpp>
--- a/src/libpapayabridge/session/session_entry.cpp
+++ b/src/libpapayabridge/session/session_entry.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr auto use_tuple = net::as_tuple(net::use_awaitable);
-// Keeps the view young enough for commits to need no proof; see core/commit_proof.
+// Keeps the view young enough for commits to need no proof; see
+// core/promotion/commit_proof.
 constexpr std::chrono::milliseconds watch_wait{400};
 constexpr std::chrono::milliseconds watch_retry{60};
 // If no majority of keepers confirms the state within this time, the entry uses the
--- a/src/libpapayabridge/session/session_entry.hpp
+++ b/src/libpapayabridge/session/session_entry.hpp
@@ -3,10 +3,10 @@
 
 #pragma once
 
-#include "caller_session.hpp"
-#include "gate_server.hpp"
-#include "gated_access.hpp"
-#include "local_access.hpp"
+#include "session/callers/caller_session.hpp"
+#include "session/gate/gate_server.hpp"
+#include "session/gate/gated_access.hpp"
+#include "session/members/local_access.hpp"
 #include "session_settings.hpp"
 
 #include <papayabridge/daemon.hpp>
--- a/src/libpapayabridge/store/keeper_log.cpp
+++ b/src/libpapayabridge/store/keeper_log.cpp
@@ -1,6 +1,6 @@
 #include "keeper_log.hpp"
 
-#include "core/consensus_codec.hpp"
+#include "core/consensus/consensus_codec.hpp"
 #include "record.hpp"
 
 #include <array>
--- a/src/libpapayabridge/store/keeper_log.hpp
+++ b/src/libpapayabridge/store/keeper_log.hpp
@@ -7,7 +7,7 @@
 
 #pragma once
 
-#include "core/consensus.hpp"
+#include "core/consensus/consensus.hpp"
 #include "file_calls.hpp"
 
 namespace papayabridge {
--- a/src/libpapayabridge/store/sheet.cpp
+++ b/src/libpapayabridge/store/sheet.cpp
@@ -1,4 +1,4 @@
-#include "core/setting_fields.hpp"
+#include "core/control/setting_fields.hpp"
 #include "csv_rows.hpp"
 #include "sheet_format.hpp"
 
--- a/src/libpapayabridge/tools/log_pipeline.hpp
+++ b/src/libpapayabridge/tools/log_pipeline.hpp
@@ -4,8 +4,8 @@
 
 #pragma once
 
-#include "core/log_budget.hpp"
-#include "core/log_queue.hpp"
+#include "core/observability/log_budget.hpp"
+#include "core/observability/log_queue.hpp"
 
 #include <condition_variable>
 #include <functional>
--- a/src/papayactl/event_commands.cpp
+++ b/src/papayactl/event_commands.cpp
@@ -1,7 +1,7 @@
 // timeline and explain: the events of all processes, asked for or read from log files.
 
 #include "command_line.hpp"
-#include "core/log_story.hpp"
+#include "core/observability/log_story.hpp"
 
 #include <fstream>
 
--- a/src/papayactl/fleet.hpp
+++ b/src/papayactl/fleet.hpp
@@ -3,7 +3,7 @@
 
 #pragma once
 
-#include "core/operator_view.hpp"
+#include "core/observability/operator_view.hpp"
 #include "operator_settings.hpp"
 
 namespace papayabridge {
--- a/src/papayakeeper/member_contact.hpp
+++ b/src/papayakeeper/member_contact.hpp
@@ -3,8 +3,8 @@
 
 #pragma once
 
-#include "core/promotion_plan.hpp"
-#include "session/member_connection.hpp"
+#include "core/promotion/promotion_plan.hpp"
+#include "session/members/member_connection.hpp"
 
 namespace papayabridge {
 
--- a/src/papayakeeper/peer_network.hpp
+++ b/src/papayakeeper/peer_network.hpp
@@ -3,8 +3,8 @@
 
 #pragma once
 
-#include "core/consensus_codec.hpp"
-#include "core/leader_duties.hpp"
+#include "core/consensus/consensus_codec.hpp"
+#include "core/control/leader_duties.hpp"
 #include "keeper_settings.hpp"
 
 #include <papayabridge/rpc.hpp>
--- a/src/papayakeeper/proposals.hpp
+++ b/src/papayakeeper/proposals.hpp
@@ -3,7 +3,7 @@
 
 #pragma once
 
-#include "core/consensus.hpp"
+#include "core/consensus/consensus.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
--- a/src/papayakeeper/replicator.hpp
+++ b/src/papayakeeper/replicator.hpp
@@ -5,9 +5,9 @@
 #pragma once
 
 #include "applied_state.hpp"
-#include "core/applied_freshness.hpp"
-#include "core/consensus.hpp"
-#include "core/leader_duties.hpp"
+#include "core/consensus/consensus.hpp"
+#include "core/control/applied_freshness.hpp"
+#include "core/control/leader_duties.hpp"
 #include "keeper_settings.hpp"
 #include "peer_network.hpp"
 #include "proposals.hpp"
--- a/src/papayakeeper/replicator_genesis.cpp
+++ b/src/papayakeeper/replicator_genesis.cpp
@@ -1,6 +1,6 @@
 // Agreement on the initial voters, and discovery of other keepers.
 
-#include "core/departed_keepers.hpp"
+#include "core/consensus/departed_keepers.hpp"
 #include "elapsed.hpp"
 #include "replicator.hpp"
 
