Commits were lost that only a replica unknown to the keepers held

A primary that is cut off from its replicas goes on acknowledging with the copy of a replica that has just started. The entries asked for no proof, since no change had begun and their views were fresh; the keepers did not know the replica, took the furthest of the known ones for complete and did not compare it with the end of the log of the primary that had stepped down.

Ruled out: to refuse each target behind the primary's log. A primary without replicas always holds commits that wait, so the service would have no writes while the cut lasts.

A primary that a quarter of the entries cannot use is suspected, by a replicated command. Entries then acknowledge only what a known replica holds, and report what they acknowledged before. A target may lack commits of the primary's log only if no entry reported one of them and all have reported, or after 2.5 s, the time in which a new replica reports itself. Replicas reported while the target was recorded are compared before the order.

--- a/src/include/papayabridge/control_state.hpp
+++ b/src/include/papayabridge/control_state.hpp
@@ -195,11 +195,11 @@
 };
 
 /// A command to apply to the state.
-using command =
-    std::variant<change_configuration, register_entry, set_entry_condition,
-                 announce_member, begin_transition, complete_transition,
-                 publish_configuration, register_keeper, report_member, remove_member,
-                 begin_promotion, choose_target, confirm_primary, read_barrier>;
+using command = std::variant<change_configuration, register_entry, set_entry_condition,
+                             announce_member, begin_transition, complete_transition,
+                             publish_configuration, register_keeper, report_member,
+                             remove_member, begin_promotion, choose_target,
+                             confirm_primary, suspect_primary, read_barrier>;
 
 /// Converts a command to JSON and back. `bad_request` if malformed.
 Json::Value to_value(const command& change);
--- a/src/include/papayabridge/keeper_client.hpp
+++ b/src/include/papayabridge/keeper_client.hpp
@@ -112,6 +112,9 @@
 
     /// Reports an unusable member to all keepers, without waiting for answers.
     void report_member_trouble(const member_failure& trouble);
+    /// Tells all keepers what was acknowledged of a suspected primary's commits. Returns
+    /// at once; the report may be lost.
+    void report_commits(const commit_report& report);
 
     /// Replaces the keepers; \p keepers must be in order of distance. The one in use
     /// stays in use if it is among them, until the nearest has answered a probe.
@@ -136,6 +139,7 @@
     /// Selects the keeper after \p asked, unless another was selected meanwhile.
     void advance_from(const tcp::endpoint& asked);
     const tcp::endpoint& select_keeper();
+    void tell_all(const char* method, const rpc_message& message);
 
     net::any_io_executor executor_;
     std::shared_ptr<rpc_clients> clients_;
--- a/src/include/papayabridge/log.hpp
+++ b/src/include/papayabridge/log.hpp
@@ -87,6 +87,7 @@
     keeper_current,
     keeper_address_removed,
     primary_probed,
+    primary_suspected,
     promotion_begun,
     promotion_compared,
     promotion_not_safe,
--- a/src/include/papayabridge/pool_state.hpp
+++ b/src/include/papayabridge/pool_state.hpp
@@ -75,6 +75,10 @@
     std::uint64_t primary_started_ms = 0;
     /// Number of changes of the primary.
     std::uint64_t primary_changes = 0;
+    /// Since which command many entries cannot use the primary, so that it may be
+    /// replaced soon; 0 if they can. Its acknowledgements may rest on a replica that the
+    /// keepers do not know.
+    control_index suspected_since;
     std::optional<promotion> pending;
 };
 
@@ -111,6 +115,22 @@
 Json::Value to_value(const member_failure& failure);
 member_failure member_failure_from(const Json::Value& value);
 
+/// An entry's report of the commits that it acknowledged on the word of the primary
+/// alone. From the report on, it acknowledges none without the word of a replica that the
+/// keepers know, until the suspicion ends.
+struct commit_report
+{
+    entry_id entry;
+    service_name service;
+    /// The suspicion of the primary that it answers; see pooled_service.
+    control_index suspicion;
+    /// The furthest such commit; empty if there was none.
+    std::optional<position> furthest;
+};
+
+Json::Value to_value(const commit_report& report);
+commit_report commit_report_from(const Json::Value& value);
+
 // --- Commands ---
 
 /// Replaces the published configuration if the version is higher than the current one.
@@ -157,6 +177,15 @@
     member_id target;
 };
 
+/// Records that the primary of \p service is suspected to be lost, or not any more.
+/// Ignored unless \p primary is still its primary.
+struct suspect_primary
+{
+    service_name service;
+    member_id primary;
+    bool is_suspected = false;
+};
+
 /// Records \p primary as the primary of \p service and ends the pending promotion.
 /// Ignored unless the token is that of the pending promotion, or 0 if none is pending.
 struct confirm_primary
@@ -183,6 +212,7 @@
     void apply(control_index index, const begin_promotion& change);
     void apply(control_index index, const choose_target& change);
     void apply(control_index index, const confirm_primary& change);
+    void apply(control_index index, const suspect_primary& change);
     void apply(control_index index, const read_barrier& change);
 
     const published_configuration& configuration() const noexcept
--- a/src/libpapayabridge/core/control/control_codec.cpp
+++ b/src/libpapayabridge/core/control/control_codec.cpp
@@ -293,7 +293,7 @@
     command (*decode)(const Json::Value&);
 };
 
-constexpr std::array<decoder, 14> decoders{{
+constexpr std::array<decoder, 15> decoders{{
     {"change_configuration", decode_change_configuration},
     {"register_entry", decode_register_entry},
     {"set_entry_condition", decode_set_entry_condition},
@@ -307,6 +307,7 @@
     {"begin_promotion", decoded<begin_promotion_from>},
     {"choose_target", decoded<choose_target_from>},
     {"confirm_primary", decoded<confirm_primary_from>},
+    {"suspect_primary", decoded<suspect_primary_from>},
     {"read_barrier", decode_read_barrier},
 }};
 
--- a/src/libpapayabridge/core/control/control_codec_test.cpp
+++ b/src/libpapayabridge/core/control/control_codec_test.cpp
@@ -49,7 +49,7 @@
 
 command any_command()
 {
-    switch (*rc::gen::inRange(0, 8)) {
+    switch (*rc::gen::inRange(0, 9)) {
     case 0:
         return report_member{.member = any_member()};
     case 1:
@@ -73,6 +73,10 @@
                                     .change = change_id(*any_text()),
                                     .author = *any_text(),
                                     .content = any_content()};
+    case 7:
+        return suspect_primary{.service = service_name(*any_text()),
+                               .primary = member_id(*any_text()),
+                               .is_suspected = *rc::gen::arbitrary<bool>()};
     default: {
         announce_member change{.database = {service_name("s"), database_name("d")}};
         change.member.id = member_id(*any_text());
--- a/src/libpapayabridge/core/control/pool_codec.cpp
+++ b/src/libpapayabridge/core/control/pool_codec.cpp
@@ -69,6 +69,9 @@
     value["primary"] = service.primary.str();
     value["primary_started_ms"] = number(service.primary_started_ms);
     value["primary_changes"] = number(service.primary_changes);
+    if (service.suspected_since != control_index()) {
+        value["suspected_since"] = number(service.suspected_since.value());
+    }
     if (service.pending) {
         value["token"] = number(service.pending->fencing_token.value());
         value["target"] = service.pending->target.str();
@@ -98,7 +101,9 @@
 {
     pooled_service service{.primary = member_id(text_of(value, "primary")),
                            .primary_started_ms = number_of(value, "primary_started_ms"),
-                           .primary_changes = number_of(value, "primary_changes")};
+                           .primary_changes = number_of(value, "primary_changes"),
+                           .suspected_since =
+                               control_index(number_of(value, "suspected_since"))};
     if (value.isMember("token")) {
         service.pending =
             promotion{.fencing_token = control_index(number_of(value, "token")),
@@ -150,6 +155,31 @@
                 std::min(number_of(value, "lasting_ms"), max_failure_ms))};
 }
 
+Json::Value to_value(const commit_report& report)
+{
+    Json::Value value;
+    value["entry"] = report.entry.str();
+    value["service"] = report.service.str();
+    value["suspicion"] = number(report.suspicion.value());
+    if (report.furthest) {
+        value["term"] = number(report.furthest->term.value());
+        value["index"] = number(report.furthest->index.value());
+    }
+    return value;
+}
+
+commit_report commit_report_from(const Json::Value& value)
+{
+    commit_report report{.entry = entry_id(text_of(value, "entry")),
+                         .service = service_name(text_of(value, "service")),
+                         .suspicion = control_index(number_of(value, "suspicion"))};
+    if (value.isMember("term")) {
+        report.furthest = position{.term = term(number_of(value, "term")),
+                                   .index = log_index(number_of(value, "index"))};
+    }
+    return report;
+}
+
 Json::Value encode(const publish_configuration& change)
 {
     auto value = named("publish_configuration");
@@ -209,6 +239,15 @@
     return value;
 }
 
+Json::Value encode(const suspect_primary& change)
+{
+    auto value = named("suspect_primary");
+    value["service"] = change.service.str();
+    value["primary"] = change.primary.str();
+    value["suspected"] = change.is_suspected;
+    return value;
+}
+
 Json::Value encode(const read_barrier&)
 {
     return named("read_barrier");
@@ -254,6 +293,13 @@
             .primary = member_id(text_of(value, "primary"))};
 }
 
+suspect_primary suspect_primary_from(const Json::Value& value)
+{
+    return {.service = service_name(text_of(value, "service")),
+            .primary = member_id(text_of(value, "primary")),
+            .is_suspected = flag_of(value, "suspected")};
+}
+
 Json::Value pool_state::snapshot() const
 {
     Json::Value value;
--- a/src/libpapayabridge/core/control/pool_state.cpp
+++ b/src/libpapayabridge/core/control/pool_state.cpp
@@ -169,6 +169,7 @@
     record.primary_started_ms = is_its_run ? known->run.started_ms : 0;
     if (record.primary != primary) {
         record.primary = primary;
+        record.suspected_since = {};
         ++record.primary_changes;
     }
 }
@@ -261,6 +262,14 @@
     set_primary(change.service, change.primary);
 }
 
+void pool_state::apply(control_index index, const suspect_primary& change)
+{
+    auto found = services_.find(change.service);
+    if (found != services_.end() && found->second.primary == change.primary) {
+        found->second.suspected_since = change.is_suspected ? index : control_index();
+    }
+}
+
 void pool_state::apply(control_index, const read_barrier&) {}
 
 } // namespace papayabridge
--- a/src/libpapayabridge/core/control/pool_state_test.cpp
+++ b/src/libpapayabridge/core/control/pool_state_test.cpp
@@ -389,4 +389,33 @@
     EXPECT_EQ(restored.members().size(), 3U);
 }
 
+TEST(pool_state, suspicion_lasts_until_the_primary_changes)
+{
+    replicated_state origin;
+    origin.apply(report_member{primary_claim("m1", 1)});
+    origin.apply(report_member{announcement("m2", 1)});
+    suspect_primary of_another{
+        .service = service_name("s"), .primary = member_id("m2"), .is_suspected = true};
+    origin.apply(of_another);
+    EXPECT_EQ(origin.service().suspected_since, control_index());
+    suspect_primary change{
+        .service = service_name("s"), .primary = member_id("m1"), .is_suspected = true};
+    origin.apply(change);
+    EXPECT_EQ(origin.service().suspected_since, control_index(origin.index));
+    auto copy = pool_state::from_snapshot(origin.pool().snapshot());
+    EXPECT_EQ(copy.services().at(service_name("s")).suspected_since,
+              control_index(origin.index));
+    change.is_suspected = false;
+    origin.apply(change);
+    EXPECT_EQ(origin.service().suspected_since, control_index());
+    change.is_suspected = true;
+    origin.apply(change);
+    origin.apply(begin_promotion{.service = service_name("s")});
+    confirm_primary promoted{.service = service_name("s"),
+                             .fencing_token = control_index(origin.index),
+                             .primary = member_id("m2")};
+    origin.apply(promoted);
+    EXPECT_EQ(origin.service().suspected_since, control_index());
+}
+
 } // namespace papayabridge
--- a/src/libpapayabridge/core/observability/log_events.cpp
+++ b/src/libpapayabridge/core/observability/log_events.cpp
@@ -93,6 +93,8 @@
                   "keeper"},
     log_event_row{log_event::primary_probed, "primary_probed", change,
                   "service member probe complaining entries lasting_us lost"},
+    log_event_row{log_event::primary_suspected, "primary_suspected", change,
+                  "service member suspected"},
     log_event_row{log_event::promotion_begun, "promotion_begun", change,
                   "service reason"},
     log_event_row{log_event::promotion_compared, "promotion_compared", change,
--- a/src/libpapayabridge/core/promotion/commit_proof.cpp
+++ b/src/libpapayabridge/core/promotion/commit_proof.cpp
@@ -4,17 +4,11 @@
 
 namespace papayabridge {
 
-namespace {
-
-// Longer than it takes to hear from the keepers that nothing has changed, shorter than a
-// primary is unusable before another is ordered.
-constexpr std::chrono::milliseconds max_age{750};
-
-} // namespace
-
 // A promoted member has to hold every acknowledged commit, so while promotions are
 // ordered their targets decide. Before, or if this entry may not have heard of an order,
-// replicas that the keepers know decide: a target is as far as the furthest of them.
+// replicas that the keepers know decide: a target is as far as the furthest of them. A
+// suspected primary may have lost these and go on with the copy of a replica that has
+// just started, whose first report is still on its way.
 commit_proof required_proof(const commit_situation& situation)
 {
     if (situation.copies == 0) {
@@ -29,7 +23,9 @@
                  [&](const member_id& target) { return target != situation.primary; });
     if (!proof.replicas.empty()) {
         proof.count = proof.replicas.size();
-    } else if (situation.is_changing || situation.age > max_age) {
+    } else if (situation.is_changing || situation.is_suspected ||
+               situation.age > view_validity)
+    {
         proof.replicas = situation.replicas;
         proof.count = situation.copies;
     }
--- a/src/libpapayabridge/core/promotion/commit_proof.hpp
+++ b/src/libpapayabridge/core/promotion/commit_proof.hpp
@@ -15,6 +15,10 @@
 
 namespace papayabridge {
 
+/// Age up to which an entry's view decides by itself whether a commit needs a proof.
+/// Longer than it takes to hear from the keepers that nothing has changed.
+constexpr std::chrono::milliseconds view_validity{750};
+
 /// What an entry knows of a service when a member has acknowledged a commit.
 struct commit_situation
 {
@@ -28,6 +32,8 @@
     unsigned copies = 0;
     /// Whether a promotion is pending.
     bool is_changing = false;
+    /// Whether the primary is suspected to be lost, so that a promotion may be near.
+    bool is_suspected = false;
     /// Members whose promotion may take effect.
     std::vector<member_id> targets;
     /// How long ago the entry knew of everything that the keepers had accepted.
--- a/src/libpapayabridge/core/promotion/commit_proof_test.cpp
+++ b/src/libpapayabridge/core/promotion/commit_proof_test.cpp
@@ -30,27 +30,30 @@
         const char* committed_by;
         unsigned copies;
         bool is_changing;
+        bool is_suspected;
         std::vector<std::string> targets;
         int age_ms;
         std::vector<std::string> replicas;
         std::size_t count;
     };
     const row rows[] = {
-        {"p", 1, false, {}, 300, {}, 0},
-        {"p", 1, false, {}, 800, {"a", "b"}, 1},
-        {"p", 2, false, {}, 800, {"a", "b"}, 2},
-        {"p", 0, true, {"a"}, 800, {}, 0},
-        {"p", 1, true, {}, 0, {"a", "b"}, 1},
-        {"p", 1, true, {"a"}, 0, {"a"}, 1},
-        {"p", 1, true, {"a"}, 800, {"a"}, 1},
-        {"p", 1, true, {"a", "b"}, 0, {"a", "b"}, 2},
+        {"p", 1, false, false, {}, 300, {}, 0},
+        {"p", 1, false, false, {}, 800, {"a", "b"}, 1},
+        {"p", 2, false, false, {}, 800, {"a", "b"}, 2},
+        {"p", 0, true, false, {"a"}, 800, {}, 0},
+        {"p", 1, true, false, {}, 0, {"a", "b"}, 1},
+        {"p", 1, false, true, {}, 0, {"a", "b"}, 1},
+        {"p", 1, true, true, {"a"}, 0, {"a"}, 1},
+        {"p", 1, true, false, {"a"}, 0, {"a"}, 1},
+        {"p", 1, true, false, {"a"}, 800, {"a"}, 1},
+        {"p", 1, true, false, {"a", "b"}, 0, {"a", "b"}, 2},
         // The primary itself is ordered again.
-        {"p", 1, true, {"p"}, 0, {"a", "b"}, 1},
-        {"p", 1, true, {"p", "b"}, 0, {"b"}, 1},
+        {"p", 1, true, false, {"p"}, 0, {"a", "b"}, 1},
+        {"p", 1, true, false, {"p", "b"}, 0, {"b"}, 1},
         // The target was recorded by an earlier version.
-        {"p", 1, true, {""}, 0, {""}, 1},
+        {"p", 1, true, false, {""}, 0, {""}, 1},
         // The primary was replaced while the commit waited.
-        {"b", 1, false, {}, 0, {"p"}, 1},
+        {"b", 1, false, false, {}, 0, {"p"}, 1},
     };
     for (const auto& row : rows) {
         auto proof = required_proof({.committed_by = member_id(row.committed_by),
@@ -58,6 +61,7 @@
                                      .replicas = ids({"a", "b"}),
                                      .copies = row.copies,
                                      .is_changing = row.is_changing,
+                                     .is_suspected = row.is_suspected,
                                      .targets = ids(row.targets),
                                      .age = milliseconds(row.age_ms)});
         EXPECT_EQ(proof.replicas, ids(row.replicas));
--- a/src/libpapayabridge/core/promotion/promotion_plan.cpp
+++ b/src/libpapayabridge/core/promotion/promotion_plan.cpp
@@ -161,7 +161,10 @@
 }
 
 // The position of a primary that still leads proves nothing: it may acknowledge more with
-// the copy of a replica that was not stopped.
+// the copy of a replica that was not stopped. The end of the log of one that stepped down
+// does: commits beyond the best replica may have been acknowledged with the copy of a
+// replica that has not reported itself yet. They may be given up only if no caller was
+// told of them.
 member_id safe_target(const promotion_input& input)
 {
     const auto* best = most_advanced_replica(input, true);
@@ -170,7 +173,17 @@
     }
     bool holds_all =
         input.final_position && best->status->received >= *input.final_position;
-    return holds_all || replicas_suffice(input) ? best->run.id : member_id();
+    bool may_give_up = may_give_up_beyond(input, best->status->received);
+    bool is_safe = holds_all || (may_give_up && replicas_suffice(input));
+    return is_safe ? best->run.id : member_id();
+}
+
+// Without the end of the primary's log, nothing shows that there are commits to give up.
+bool may_give_up_beyond(const promotion_input& input, position target_end)
+{
+    const auto& acknowledged = input.acknowledged;
+    bool is_told = acknowledged.furthest && *acknowledged.furthest > target_end;
+    return !is_told && (!input.final_position || acknowledged.is_complete);
 }
 
 // A replica that is not leaving and refuses connections has crashed. One that is leaving
@@ -242,6 +255,13 @@
     return lost ? promotion_kind::replace_leading : promotion_kind::reaffirm;
 }
 
+bool should_suspect_primary(std::size_t complaining_entries, std::size_t entry_count,
+                            bool is_suspected)
+{
+    return complaining_entries > 0 &&
+           (is_suspected || 4 * complaining_entries >= entry_count);
+}
+
 bool should_replace_primary(probe_outcome probe, std::size_t complaining_entries,
                             std::size_t entry_count,
                             std::chrono::milliseconds complaint_duration)
--- a/src/libpapayabridge/core/promotion/promotion_plan.hpp
+++ b/src/libpapayabridge/core/promotion/promotion_plan.hpp
@@ -20,6 +20,18 @@
     bool is_stopped = false;
 };
 
+/// What callers were told of the commits of a suspected primary.
+struct acknowledged_commits
+{
+    /// The furthest commit that an entry is known to have acknowledged on the word of the
+    /// primary alone.
+    std::optional<position> furthest;
+    /// Whether each commit beyond it that was acknowledged is held by a replica that the
+    /// keepers know: all entries have reported, or each replica that was not known when
+    /// the primary was suspected has had the time to report itself.
+    bool is_complete = false;
+};
+
 /// What the choice of a promotion target depends on.
 struct promotion_input
 {
@@ -37,6 +49,7 @@
     std::optional<position> final_position;
     /// See promotion::outstanding.
     std::vector<member_id> outstanding;
+    acknowledged_commits acknowledged;
 };
 
 /// How a promotion is prepared.
@@ -75,6 +88,8 @@
 /// The member to promote once the replicas are stopped: one that holds every commit that
 /// may have been acknowledged. Empty if this is proven for no member.
 member_id safe_target(const promotion_input& input);
+/// Whether no caller was told of a commit that a log ending at \p target_end lacks.
+bool may_give_up_beyond(const promotion_input& input, position target_end);
 /// Whether too few replicas are unknown or not stopped to hold, or to acknowledge, a
 /// commit that no other replica holds.
 bool replicas_suffice(const promotion_input& input);
@@ -116,6 +131,11 @@
     not_listening, ///< No process listens at its address.
 };
 
+/// Whether a primary that \p complaining_entries of \p entry_count entries cannot use is
+/// suspected to be lost. One that \p is_suspected stays so while any entry complains.
+bool should_suspect_primary(std::size_t complaining_entries, std::size_t entry_count,
+                            bool is_suspected);
+
 /// Whether a primary must be replaced, given the leader's own \p probe and that
 /// \p complaining_entries of \p entry_count entries could not use it for
 /// \p complaint_duration.
--- a/src/libpapayabridge/core/promotion/promotion_plan_test.cpp
+++ b/src/libpapayabridge/core/promotion/promotion_plan_test.cpp
@@ -68,6 +68,47 @@
     EXPECT_TRUE(safe_target(input).empty());
 }
 
+// Acknowledged commits were lost: a replica that had just started held them, and the
+// target was chosen although the primary that had stepped down was further.
+TEST(promotion_plan, commits_beyond_the_target_are_given_up_only_if_none_was_told_of)
+{
+    struct row
+    {
+        std::optional<std::uint64_t> final_index;
+        std::optional<std::uint64_t> furthest;
+        bool is_complete;
+        bool has_target;
+    };
+    const row rows[] = {
+        {8, {}, false, false}, {8, {}, true, true},  {8, 7, true, true},
+        {8, 8, true, false},   {8, 7, false, false}, {7, 8, false, true},
+        {{}, {}, false, true}, {{}, 7, false, true}, {{}, 8, true, false},
+    };
+    for (const auto& row : rows) {
+        auto input =
+            make_input({make_report("p", 9), make_report("a", 7), make_report("b", 6)});
+        auto at = [](std::uint64_t index) {
+            return position{.term = term(1), .index = log_index(index)};
+        };
+        if (row.final_index) {
+            input.final_position = at(*row.final_index);
+        }
+        if (row.furthest) {
+            input.acknowledged.furthest = at(*row.furthest);
+        }
+        input.acknowledged.is_complete = row.is_complete;
+        EXPECT_EQ(safe_target(input), row.has_target ? member_id("a") : member_id());
+    }
+}
+
+TEST(promotion_plan, primary_is_suspected_if_a_quarter_of_the_entries_complains)
+{
+    EXPECT_FALSE(should_suspect_primary(0, 8, true));
+    EXPECT_FALSE(should_suspect_primary(1, 8, false));
+    EXPECT_TRUE(should_suspect_primary(2, 8, false));
+    EXPECT_TRUE(should_suspect_primary(1, 8, true));
+}
+
 TEST(promotion_plan, replica_that_did_not_stop_counts_as_unknown)
 {
     auto input =
--- a/src/libpapayabridge/net/keeper_client.cpp
+++ b/src/libpapayabridge/net/keeper_client.cpp
@@ -41,10 +41,10 @@
 }
 
 // Repeated by the caller while it holds, so that a lost call does no harm.
-net::awaitable<void> tell(rpc_client* keeper, rpc_message request, time_point deadline)
+net::awaitable<void> tell(rpc_client* keeper, const char* method, rpc_message message,
+                          time_point deadline)
 {
-    static_cast<void>(
-        co_await keeper->call("keeper.trouble", std::move(request), deadline));
+    static_cast<void>(co_await keeper->call(method, std::move(message), deadline));
 }
 
 } // namespace
@@ -126,20 +126,33 @@
     }
 }
 
-void keeper_client::report_member_trouble(const member_failure& trouble)
+// To each keeper: the one that is asked otherwise may be in trouble, too, and only the
+// one that leads acts on it.
+void keeper_client::tell_all(const char* method, const rpc_message& message)
 {
-    rpc_message request;
-    request.body = to_value(trouble);
-    request.body["forwarded"] = true;
     auto deadline = steady_clock::now() + tell_timeout;
-    // To each keeper: the one that is asked otherwise may be in trouble, too, and only
-    // the one that leads acts on it.
     for (const auto& place : keepers_) {
-        net::co_spawn(executor_, tell(&clients_->client_to(place), request, deadline),
+        net::co_spawn(executor_,
+                      tell(&clients_->client_to(place), method, message, deadline),
                       net::detached);
     }
 }
 
+void keeper_client::report_member_trouble(const member_failure& trouble)
+{
+    rpc_message request;
+    request.body = to_value(trouble);
+    request.body["forwarded"] = true;
+    tell_all("keeper.trouble", request);
+}
+
+void keeper_client::report_commits(const commit_report& report)
+{
+    rpc_message request;
+    request.body = to_value(report);
+    tell_all("keeper.commits", request);
+}
+
 net::awaitable<result<command_outcome>> keeper_client::propose(command change,
                                                                time_point deadline)
 {
--- a/src/libpapayabridge/session/members/commit_verifier.cpp
+++ b/src/libpapayabridge/session/members/commit_verifier.cpp
@@ -41,6 +41,13 @@
     });
 }
 
+std::optional<position>
+commit_verifier::furthest_unproved(const service_name& service) const
+{
+    auto found = unproved_.find(service);
+    return found == unproved_.end() ? std::nullopt : std::optional(found->second);
+}
+
 void commit_verifier::record_complete_view(time_point when)
 {
     complete_at_ = std::max(complete_at_.value_or(when), when);
@@ -53,6 +60,7 @@
                                .primary = service.primary,
                                .copies = service.limits.synchronous_replicas,
                                .is_changing = service.is_changing,
+                               .is_suspected = service.suspected_since != control_index(),
                                .targets = service.promotion_targets,
                                .age = no_news};
     for (const auto& known : service.members) {
@@ -101,6 +109,10 @@
         was_required = proof.count != 0;
         auto state = evaluate_proof(*known, proof, committed);
         if (state == proof_state::holds) {
+            if (proof.count == 0) {
+                auto& furthest = unproved_[service];
+                furthest = std::max(furthest, committed);
+            }
             co_return true;
         }
         if (state == proof_state::impossible || steady_clock::now() >= deadline) {
--- a/src/libpapayabridge/session/members/commit_verifier.hpp
+++ b/src/libpapayabridge/session/members/commit_verifier.hpp
@@ -31,6 +31,8 @@
     /// the replicas that have to hold it. False if that is not known at \p deadline.
     net::awaitable<bool> verify(service_name service, member_id member,
                                 position committed, time_point deadline);
+    /// The furthest commit of \p service that needed no proof. Empty if there was none.
+    std::optional<position> furthest_unproved(const service_name& service) const;
 
 private:
     struct witness
@@ -65,6 +67,7 @@
     std::shared_ptr<const pool_view> view_ = std::make_shared<pool_view>();
     std::optional<time_point> complete_at_;
     std::map<member_run, witness> witnesses_;
+    std::map<service_name, position> unproved_;
     std::set<net::steady_timer*> waiting_;
 };
 
--- a/src/libpapayabridge/session/pool_view.cpp
+++ b/src/libpapayabridge/session/pool_view.cpp
@@ -28,6 +28,7 @@
     if (published != pool.services().end()) {
         service.primary = published->second.primary;
         service.primary_changes = published->second.primary_changes;
+        service.suspected_since = published->second.suspected_since;
         const auto& pending = published->second.pending;
         service.is_changing = pending.has_value();
         if (pending) {
--- a/src/libpapayabridge/session/pool_view.hpp
+++ b/src/libpapayabridge/session/pool_view.hpp
@@ -63,6 +63,8 @@
     member_id primary;
     std::uint64_t primary_changes = 0;
     bool is_changing = false;
+    /// See pooled_service.
+    control_index suspected_since;
     /// Members whose promotion may take effect; see promotion.
     std::vector<member_id> promotion_targets;
     /// Whether statements go through the gates of the members.
--- a/src/libpapayabridge/session/session_entry.hpp
+++ b/src/libpapayabridge/session/session_entry.hpp
@@ -47,6 +47,8 @@
     net::awaitable<void> check_members();
     void check_member(const service_name& service, const member_id& member,
                       bool is_primary);
+    /// Reports what was acknowledged of the commits of suspected primaries.
+    void report_commits();
     net::awaitable<void> drain_and_stop();
     net::awaitable<void> announce_stop();
     bool serves_peers() const;
--- a/src/papayakeeper/keeper_service.cpp
+++ b/src/papayakeeper/keeper_service.cpp
@@ -44,7 +44,7 @@
         const char* name;
         method_pointer handler;
     };
-    static constexpr std::array<named_method, 8> methods{{
+    static constexpr std::array<named_method, 9> methods{{
         {"keeper.propose", &keeper_service::propose},
         {"keeper.watch", &keeper_service::watch},
         {"keeper.status", &keeper_service::status},
@@ -53,6 +53,7 @@
         {"process.events", &keeper_service::list_events},
         {"process.fault", &keeper_service::cut_links},
         {"keeper.trouble", &keeper_service::report_trouble},
+        {"keeper.commits", &keeper_service::report_commits},
     }};
     for (const auto& method : methods) {
         server.add_method(method.name,
@@ -163,6 +164,15 @@
     co_return answer;
 }
 
+net::awaitable<result<rpc_message>> keeper_service::report_commits(rpc_message request)
+{
+    if (promotion_controller_ != nullptr) {
+        promotion_controller_->record_commits(commit_report_from(request.body));
+    }
+    rpc_message answer;
+    co_return answer;
+}
+
 net::awaitable<result<rpc_message>> keeper_service::cut_links(rpc_message request)
 {
     if (!settings_.test_faults) {
--- a/src/papayakeeper/keeper_service.hpp
+++ b/src/papayakeeper/keeper_service.hpp
@@ -34,6 +34,7 @@
     net::awaitable<result<rpc_message>> list_events(rpc_message request);
     net::awaitable<result<rpc_message>> cut_links(rpc_message request);
     net::awaitable<result<rpc_message>> report_trouble(rpc_message request);
+    net::awaitable<result<rpc_message>> report_commits(rpc_message request);
 
     const keeper_settings& settings_;
     replicator& replicated_;
--- a/src/papayakeeper/lone_keeper_test.hpp
+++ b/src/papayakeeper/lone_keeper_test.hpp
@@ -102,6 +102,8 @@
         settings.election_timeout = std::chrono::milliseconds(20);
         settings.heartbeat = std::chrono::milliseconds(5);
         settings.snapshot_interval = 10;
+        // The entries of a test report nothing by themselves.
+        settings.entry_timeout = std::chrono::seconds(30);
         return settings;
     }
 
--- a/src/papayakeeper/promotion_attempt.cpp
+++ b/src/papayakeeper/promotion_attempt.cpp
@@ -82,7 +82,8 @@
                           .copies = synchronous_copies_of(current.name),
                           .stop_below = current.stop_below,
                           .final_position = current.final_position,
-                          .outstanding = outstanding_targets(current)};
+                          .outstanding = outstanding_targets(current),
+                          .acknowledged = acknowledged_of(current.name)};
     for (const auto& contact : current.contacts) {
         input.members.push_back(contact->report());
     }
@@ -105,7 +106,7 @@
 }
 
 // A replica that starts during the attempt receives, and the primary counts its copy.
-net::awaitable<void> promotion_controller::stop_new_members(attempt& current)
+net::awaitable<std::size_t> promotion_controller::stop_new_members(attempt& current)
 {
     contact_list arrived;
     for (const auto* member :
@@ -119,8 +120,9 @@
         }
     }
     if (arrived.empty()) {
-        co_return;
+        co_return 0;
     }
+    auto count = arrived.size();
     auto deadline = steady_clock::now() + member_reach_timeout;
     contact_action stop = [&, deadline](member_contact& contact) -> net::awaitable<void> {
         co_await contact.connect(deadline);
@@ -137,6 +139,7 @@
                                current.contacts.end());
         current.contacts.push_back(std::move(contact));
     }
+    co_return count;
 }
 
 net::awaitable<void> promotion_controller::step_down_primary(attempt& current)
@@ -277,18 +280,34 @@
 net::awaitable<bool> promotion_controller::can_replace_leading(attempt& current)
 {
     auto input = build_promotion_input(current);
-    if (replicas_suffice(input)) {
-        co_return true;
-    }
+    auto best = most_advanced_position(input);
     for (const auto& member : input.members) {
         if (member.run.id == input.primary && member.status) {
-            member_id any_replica;
-            bool caught_up = co_await wait_for_position(
-                current, any_replica, member.status->received, in_flight_time);
-            co_return caught_up;
+            input.final_position = member.status->received;
         }
     }
-    co_return false;
+    if (best && replicas_suffice(input) && may_give_up_beyond(input, *best)) {
+        co_return true;
+    }
+    if (!input.final_position) {
+        co_return false;
+    }
+    member_id any_replica;
+    bool caught_up = co_await wait_for_position(current, any_replica,
+                                                *input.final_position, in_flight_time);
+    co_return caught_up;
+}
+
+// An entry that knew of a replica, but not of the target yet, may have taken that
+// replica's copy as a proof.
+net::awaitable<bool> promotion_controller::confirm_target(attempt& current,
+                                                          promotion_kind kind,
+                                                          member_id target)
+{
+    auto arrived = co_await stop_new_members(current);
+    bool is_best = kind != promotion_kind::planned &&
+                   safe_target(build_promotion_input(current)) == target;
+    co_return arrived == 0 || is_best;
 }
 
 // Logs the member reports from which the next primary was chosen.
@@ -392,7 +411,11 @@
         log_not_safe(current);
         co_await abandon(current, input.primary);
     } else if (co_await record_target(current, target) && is_leading()) {
-        co_await order_promotion(current, target);
+        if (co_await confirm_target(current, kind, target)) {
+            co_await order_promotion(current, target);
+        } else if (co_await record_target(current, member_id())) {
+            co_await abandon(current, input.primary);
+        }
     }
 }
 
--- a/src/papayakeeper/promotion_controller.cpp
+++ b/src/papayakeeper/promotion_controller.cpp
@@ -27,6 +27,10 @@
 // How often the remaining replicas are checked for completeness after a member left.
 constexpr std::chrono::milliseconds coverage_check_interval{400};
 
+// A replica that starts reports itself within this time, also if two of its calls reach a
+// keeper that does not answer within their limit of one second.
+constexpr std::chrono::milliseconds report_time{2500};
+
 constexpr std::array<std::string_view, 4> probe_names{"leads", "answers", "silent",
                                                       "stopped"};
 
@@ -167,6 +171,8 @@
         } else {
             departures_.clear();
             complaints_.clear();
+            suspected_since_.clear();
+            commit_reports_.clear();
         }
         co_await sleep_for(check_interval);
     }
@@ -223,9 +229,86 @@
     return count > 0 ? std::to_string(count) + " entries cannot use the primary" : "";
 }
 
+void promotion_controller::update_suspicion(const service_name& name,
+                                            const pooled_service& service)
+{
+    bool was_suspected = service.suspected_since != control_index();
+    if (!was_suspected) {
+        suspected_since_.erase(name);
+        commit_reports_.erase(name);
+    } else {
+        // Recorded by this keeper or by an earlier leader; known to it from now on.
+        suspected_since_.emplace(name, steady_clock::now());
+    }
+    time_point began;
+    auto complaints = count_complaints(name, service.primary, began);
+    bool is_suspected =
+        !service.primary.empty() &&
+        should_suspect_primary(complaints, count_up_entries(), was_suspected);
+    // What the entries reported is needed until the attempt has ended.
+    is_suspected = is_suspected || (was_suspected && service.pending);
+    bool is_recording = recording_suspicion_.count(name) != 0;
+    if (is_suspected != was_suspected && !is_recording) {
+        recording_suspicion_.insert(name);
+        suspect_primary change{
+            .service = name, .primary = service.primary, .is_suspected = is_suspected};
+        net::co_spawn(executor_, record_suspicion(std::move(change)), net::detached);
+    }
+}
+
+net::awaitable<void> promotion_controller::record_suspicion(suspect_primary change)
+{
+    auto name = change.service;
+    log_line(log_event::primary_suspected,
+             {{"service", name.str()},
+              {"member", change.primary.str()},
+              {"suspected", change.is_suspected ? "true" : "false"}});
+    command recorded = std::move(change);
+    static_cast<void>(co_await propose(std::move(recorded)));
+    recording_suspicion_.erase(name);
+}
+
+void promotion_controller::record_commits(const commit_report& report)
+{
+    if (is_leading()) {
+        commit_reports_[report.service][report.entry] = report;
+    }
+}
+
+acknowledged_commits promotion_controller::acknowledged_of(const service_name& name) const
+{
+    acknowledged_commits acknowledged;
+    const auto& state = replicated_.applied().state();
+    auto service = state.pool().services().find(name);
+    auto reports = commit_reports_.find(name);
+    auto since = suspected_since_.find(name);
+    if (service == state.pool().services().end() || since == suspected_since_.end()) {
+        return acknowledged;
+    }
+    std::set<entry_id> reported;
+    if (reports != commit_reports_.end()) {
+        for (const auto& [entry, report] : reports->second) {
+            acknowledged.furthest = std::max(acknowledged.furthest, report.furthest);
+            if (report.suspicion == service->second.suspected_since) {
+                reported.insert(entry);
+            }
+        }
+    }
+    const auto& entries = state.entries();
+    bool all_reported =
+        std::all_of(entries.begin(), entries.end(), [&](const auto& entry) {
+            return entry.second.condition == entry_condition::down ||
+                   reported.count(entry.first) != 0;
+        });
+    acknowledged.is_complete =
+        all_reported || elapsed_since(since->second) >= report_time;
+    return acknowledged;
+}
+
 void promotion_controller::check_service(const service_name& name,
                                          const pooled_service& service)
 {
+    update_suspicion(name, service);
     auto now = steady_clock::now();
     auto retry = retry_at_.find(name);
     if (in_progress_.count(name) != 0 ||
--- a/src/papayakeeper/promotion_controller.hpp
+++ b/src/papayakeeper/promotion_controller.hpp
@@ -24,6 +24,8 @@
     void stop() { stopping_ = true; }
     /// Records that an entry cannot use a member. Has an effect only on the leader.
     void record_trouble(const member_failure& failure);
+    /// Records what an entry acknowledged. Has an effect only on the leader.
+    void record_commits(const commit_report& report);
 
 private:
     /// The last report of an entry that it cannot use a member.
@@ -68,6 +70,10 @@
     std::size_t count_complaints(const service_name& name, const member_id& member,
                                  time_point& began) const;
     std::size_t count_up_entries() const;
+    /// Keeps the recorded suspicion of the service's primary up to date.
+    void update_suspicion(const service_name& name, const pooled_service& service);
+    net::awaitable<void> record_suspicion(suspect_primary change);
+    acknowledged_commits acknowledged_of(const service_name& name) const;
     bool is_leading() const;
     unsigned synchronous_copies_of(const service_name& name);
 
@@ -91,8 +97,8 @@
     net::awaitable<contact_list> connect_members(service_name name, member_id excluded);
     net::awaitable<void> run_on_each(contact_list& contacts, contact_action action);
     net::awaitable<void> stop_receiving(attempt& current);
-    /// Stops replicas that were reported since the attempt began.
-    net::awaitable<void> stop_new_members(attempt& current);
+    /// Stops replicas that were reported since the attempt began. Returns how many were.
+    net::awaitable<std::size_t> stop_new_members(attempt& current);
     /// False if this keeper may have lost the lead; then it resumes nothing.
     net::awaitable<bool> resume_receiving(attempt& current);
     net::awaitable<bool> resume_member(attempt& current, member_id member);
@@ -114,6 +120,9 @@
     static bool is_answering(const attempt& current, const member_id& member);
     /// Records the target of the attempt's order, before it is sent.
     net::awaitable<bool> record_target(const attempt& current, member_id target);
+    /// Whether no replica that was reported before the target was recorded holds more.
+    net::awaitable<bool> confirm_target(attempt& current, promotion_kind kind,
+                                        member_id target);
     net::awaitable<promotion_answer> send_order(const attempt& current, member_id target);
     net::awaitable<void> order_promotion(attempt& current, member_id target);
     net::awaitable<bool> has_taken_over(const attempt& current, member_id target,
@@ -146,6 +155,11 @@
     std::map<service_name, time_point> retry_at_;
     std::map<service_name, std::map<entry_id, complaint>> complaints_;
     std::map<service_name, departure_watch> departures_;
+    /// Since when this leader knows that its suspicion of a service's primary is
+    /// recorded.
+    std::map<service_name, time_point> suspected_since_;
+    std::set<service_name> recording_suspicion_;
+    std::map<service_name, std::map<entry_id, commit_report>> commit_reports_;
     pooled_configuration configuration_;
 };
 
