Client accounts: a caller's key names the account for which its statements run

A configuration may have accounts with their keys. A session keeps a digest of its caller's key and resolves it in the configuration in force at each statement, so that a withdrawn or moved key takes effect in open sessions. Members are told the account's name when a connection is opened; a connection serves one account (core/accounts/ connection_choice), and the gates of a member divide the accounts between them.

Where keys are withdrawn in time ("key_withdrawal_ms"), an entry uses its directory for 0.8 of that time after a majority of the keepers confirmed it, by a clock that counts suspensions. The keepers confirm once for all watchers, twice a second; read barriers do not wake watchers any more. Weighed: an acknowledgement that waits for all entries, which one frozen entry would hold up for as long as the lease lasts anyway.

Without accounts nothing changes on the wire.

--- a/src/include/papayabridge/ids.hpp
+++ b/src/include/papayabridge/ids.hpp
@@ -47,6 +47,8 @@
 using region_name = strong_name<struct region_tag>;
 /// One caller, as its requests name it; the unit of fair scheduling and of limits.
 using caller_id = strong_name<struct caller_tag>;
+/// A client account: the customer whose callers name one of its access keys.
+using account_name = strong_name<struct account_tag>;
 /// One request; it keeps the identifier in every process that handles it.
 using request_id = strong_name<struct request_tag>;
 /// Identifies a configuration change. Chosen by the sender, so that resending a change
--- a/src/include/papayabridge/keeper_client.hpp
+++ b/src/include/papayabridge/keeper_client.hpp
@@ -43,6 +43,19 @@
     /// Whether the state includes everything accepted before the call. Set only if the
     /// watch asked for confirmation.
     bool is_up_to_date = false;
+    /// How long before the answer a majority of the keepers confirmed that the state held
+    /// everything accepted; counts the time for which the keeper was suspended. Set only
+    /// if the watch asked for it.
+    std::optional<std::chrono::milliseconds> confirmed_age;
+};
+
+/// What a watch asks for beside the changes.
+struct watch_options
+{
+    /// The keeper first tries to confirm that its state is up to date.
+    bool confirm = false;
+    /// The answer tells `confirmed_age`.
+    bool wants_confirmed_age = false;
 };
 
 /// A keeper as seen by another keeper.
@@ -99,13 +112,12 @@
     net::awaitable<result<command_outcome>> propose(command change, time_point deadline);
 
     /// Returns the changes after index \p from, waiting up to \p wait if there are none.
-    /// If \p entry has an id, the call is also that entry's heartbeat. With \p confirm
-    /// the keeper first tries to confirm that its state is up to date. Errors are those
+    /// If \p entry has an id, the call is also that entry's heartbeat. Errors are those
     /// of the last keeper asked.
     net::awaitable<result<watch_update>> watch(control_index from,
                                                std::chrono::milliseconds wait,
                                                entry_identity entry,
-                                               bool confirm = false);
+                                               watch_options options = {});
 
     /// The status of the keeper at \p keeper.
     net::awaitable<result<keeper_status>> status(tcp::endpoint keeper);
--- a/src/include/papayabridge/pooled_configuration.hpp
+++ b/src/include/papayabridge/pooled_configuration.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
 #include <functional>
+#include <papayabridge/access_key.hpp>
 #include <papayabridge/pool_state.hpp>
 #include <string_view>
 
@@ -35,6 +36,19 @@
     std::chrono::milliseconds target{0};
     /// 0 is the most urgent.
     unsigned rank = 0;
+    /// Whether callers need the access key of an account. Without effect if the
+    /// configuration has no accounts.
+    bool requires_account = true;
+};
+
+/// Limits of one client account.
+struct client_account
+{
+    unsigned rank = 0;
+    /// Operations a second that it may run, over all entries; 0 for no limit.
+    double operations_per_second = 0;
+    /// Operations that it may run at once after a rest.
+    double burst = 0;
 };
 
 /// Limits of one service.
@@ -54,6 +68,11 @@
     std::map<service_name, pooled_service_limits> services;
     /// A transaction that is idle longer than this may be ended.
     std::chrono::milliseconds transaction_idle_limit{0};
+    /// Whether callers are told apart by account.
+    bool has_accounts = false;
+    std::map<account_name, client_account> accounts;
+    /// The account of each access key.
+    std::map<access_key_digest, account_name> keys;
 };
 
 /// Parses a configuration; `bad_request` with all problems if it is invalid.
--- a/src/include/papayabridge/statement_codec.hpp
+++ b/src/include/papayabridge/statement_codec.hpp
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include <papayabridge/access_key.hpp>
 #include <papayabridge/statement.hpp>
 #include <string_view>
 
@@ -19,6 +20,7 @@
 struct session_opening
 {
     database_name database;
+    access_key_digest key;
 };
 
 /// A caller ends its session.
@@ -90,9 +92,11 @@
     decode(std::string_view& input) const = 0;
     virtual result<member_status> decode_status(std::string_view row) const = 0;
 
-    /// Opens a connection to member \p id; a member with another id refuses it.
+    /// Opens a connection to member \p id; a member with another id refuses it. All
+    /// statements on it run for \p account; empty for this process.
     virtual void encode_opening(std::string& out, const service_name& service,
-                                const member_id& id) const = 0;
+                                const member_id& id,
+                                const account_name& account) const = 0;
     /// Clears all session values and prepared statements of the connection.
     virtual void encode_reset(std::string& out) const = 0;
     virtual void encode_value(std::string& out, const std::string& name,
--- a/src/libpapayabridge/core/routing/gate_placement.cpp
+++ b/src/libpapayabridge/core/routing/gate_placement.cpp
@@ -24,10 +24,10 @@
 // round trips; with more, statements wait at the member, whose queue knows no ranks.
 constexpr unsigned statements_per_slot = 2;
 
-std::uint64_t hash_of(const entry_id& entry, const member_id& member)
+std::uint64_t hash_of(const std::string& user, const member_id& member)
 {
     return XXH64(member.str().data(), member.str().size(),
-                 XXH64(entry.str().data(), entry.str().size(), 0));
+                 XXH64(user.data(), user.size(), 0));
 }
 
 unsigned divide_rounding_up(unsigned amount, std::size_t parts)
@@ -35,6 +35,23 @@
     return static_cast<unsigned>((amount + parts - 1) / parts);
 }
 
+// Puts the gate of \p ordered at \p first, of the first \p count, to the front.
+std::vector<entry_id> rotate_gates(const std::vector<entry_id>& ordered,
+                                   std::size_t count, std::size_t first,
+                                   std::size_t max_choices)
+{
+    std::vector<entry_id> chosen(
+        ordered.begin(),
+        ordered.begin() + static_cast<std::ptrdiff_t>(
+                              std::min(ordered.size(), std::max(count, max_choices))));
+    if (count > 0) {
+        std::rotate(chosen.begin(), chosen.begin() + static_cast<std::ptrdiff_t>(first),
+                    chosen.begin() + static_cast<std::ptrdiff_t>(count));
+    }
+    chosen.resize(std::min(chosen.size(), max_choices));
+    return chosen;
+}
+
 } // namespace
 
 bool needs_gates(unsigned max_connections, unsigned member_slots, std::size_t entry_count)
@@ -69,7 +86,7 @@
     std::vector<scored> scores;
     scores.reserve(candidates.size());
     for (const auto& candidate : candidates) {
-        scores.emplace_back(candidate.distance, hash_of(candidate.entry, member),
+        scores.emplace_back(candidate.distance, hash_of(candidate.entry.str(), member),
                             &candidate.entry);
     }
     std::sort(scores.begin(), scores.end(), [](const auto& a, const auto& b) {
@@ -91,19 +108,24 @@
                                    std::size_t gates, std::size_t max_choices)
 {
     auto count = std::min(gates, ordered.size());
-    std::vector<entry_id> chosen(ordered.begin(),
-                                 ordered.begin() + static_cast<std::ptrdiff_t>(count));
-    auto self = std::find(chosen.begin(), chosen.end(), caller);
-    auto first = self != chosen.end() || chosen.empty()
-                     ? self
-                     : chosen.begin() + static_cast<std::ptrdiff_t>(
-                                            hash_of(caller, member) % chosen.size());
-    std::rotate(chosen.begin(), first, chosen.end());
-    for (auto at = count; at < ordered.size() && chosen.size() < max_choices; ++at) {
-        chosen.push_back(ordered[at]);
-    }
-    chosen.resize(std::min(chosen.size(), max_choices));
-    return chosen;
+    auto end = ordered.begin() + static_cast<std::ptrdiff_t>(count);
+    auto self = std::find(ordered.begin(), end, caller);
+    auto first = self != end  ? static_cast<std::size_t>(self - ordered.begin())
+                 : count == 0 ? 0
+                              : hash_of(caller.str(), member) % count;
+    return rotate_gates(ordered, count, first, max_choices);
+}
+
+// The accounts are divided between the gates, so that each gate keeps connections for
+// fewer of them.
+std::vector<entry_id> choose_account_gates(const account_name& account,
+                                           const member_id& member,
+                                           const std::vector<entry_id>& ordered,
+                                           std::size_t gates, std::size_t max_choices)
+{
+    auto count = std::min(gates, ordered.size());
+    auto first = count == 0 ? 0 : hash_of(account.str(), member) % count;
+    return rotate_gates(ordered, count, first, max_choices);
 }
 
 } // namespace papayabridge
--- a/src/libpapayabridge/core/routing/gate_placement.hpp
+++ b/src/libpapayabridge/core/routing/gate_placement.hpp
@@ -66,4 +66,11 @@
                                    const std::vector<entry_id>& ordered,
                                    std::size_t gates, std::size_t max_choices);
 
+/// The same for statements of \p account, whatever entry sends them: each of the gates
+/// serves a part of the accounts.
+std::vector<entry_id> choose_account_gates(const account_name& account,
+                                           const member_id& member,
+                                           const std::vector<entry_id>& ordered,
+                                           std::size_t gates, std::size_t max_choices);
+
 } // namespace papayabridge
--- a/src/libpapayabridge/core/routing/gate_placement_test.cpp
+++ b/src/libpapayabridge/core/routing/gate_placement_test.cpp
@@ -130,4 +130,28 @@
     RC_ASSERT(limits.connections * (gates + 1) < max_connections);
 }
 
+// Each gate opened connections for every account.
+TEST(gate_placement, each_gate_serves_a_part_of_the_accounts)
+{
+    std::vector<entry_id> ordered;
+    for (const auto* name : {"e1", "e2", "e3", "e4"}) {
+        ordered.emplace_back(name);
+    }
+    std::map<entry_id, int> accounts_of;
+    for (int i = 0; i < 100; ++i) {
+        auto account = account_name("t" + std::to_string(i));
+        auto chosen = choose_account_gates(account, member_id("m"), ordered, 2, 3);
+        ASSERT_EQ(chosen.size(), 3U);
+        EXPECT_EQ(chosen.back(), entry_id("e3"));
+        EXPECT_NE(chosen[0], chosen[1]);
+        ++accounts_of[chosen.front()];
+        EXPECT_EQ(chosen, choose_account_gates(account, member_id("m"), ordered, 2, 3));
+    }
+    EXPECT_EQ(accounts_of.size(), 2U);
+    EXPECT_GT(accounts_of[entry_id("e1")], 30);
+    EXPECT_GT(accounts_of[entry_id("e2")], 30);
+    EXPECT_TRUE(
+        choose_account_gates(account_name("t"), member_id("m"), {}, 2, 3).empty());
+}
+
 } // namespace papayabridge
--- a/src/libpapayabridge/net/keeper_client.cpp
+++ b/src/libpapayabridge/net/keeper_client.cpp
@@ -187,7 +187,7 @@
 net::awaitable<result<watch_update>> keeper_client::watch(control_index from,
                                                           std::chrono::milliseconds wait,
                                                           entry_identity entry,
-                                                          bool confirm)
+                                                          watch_options options)
 {
     if (keepers_.empty()) {
         co_return fail(error_kind::unreachable, "no keeper is known");
@@ -197,7 +197,10 @@
     request.body["wait_ms"] = Json::UInt64(wait.count());
     request.body["entry"] = entry.id.str();
     request.body["incarnation"] = Json::UInt64(entry.incarnation);
-    request.body["confirm"] = confirm;
+    request.body["confirm"] = options.confirm;
+    if (options.wants_confirmed_age) {
+        request.body["dated"] = true;
+    }
     auto asked = select_keeper();
     auto& client = clients_->client_to(asked);
     auto deadline = steady_clock::now() + wait + watch_grace;
--- a/src/libpapayabridge/net/keeper_client_test.cpp
+++ b/src/libpapayabridge/net/keeper_client_test.cpp
@@ -67,7 +67,7 @@
                                        std::chrono::milliseconds wait = 10ms)
     {
         auto update = run_awaitable(
-            context, client.watch(control_index(), wait, {.id = entry_id("e")}, false));
+            context, client.watch(control_index(), wait, {.id = entry_id("e")}, {}));
         return update ? std::optional(update.value().applied.value()) : std::nullopt;
     }
 
--- a/src/libpapayabridge/net/keeper_messages.cpp
+++ b/src/libpapayabridge/net/keeper_messages.cpp
@@ -71,6 +71,10 @@
     update.state_age = std::chrono::milliseconds(
         std::min(number_of(value, "state_age_ms"), max_state_age_ms));
     update.is_up_to_date = flag_of(value, "newest");
+    if (value.isMember("confirmed_ms")) {
+        update.confirmed_age = std::chrono::milliseconds(
+            std::min(number_of(value, "confirmed_ms"), max_state_age_ms));
+    }
     if (value["snapshot"].isObject()) {
         auto state = control_state::from_snapshot(value["snapshot"]);
         if (!state) {
@@ -124,6 +128,9 @@
     value["leader_known"] = update.is_current;
     value["state_age_ms"] = Json::UInt64(update.state_age.count());
     value["newest"] = update.is_up_to_date;
+    if (update.confirmed_age) {
+        value["confirmed_ms"] = Json::UInt64(update.confirmed_age->count());
+    }
     if (update.snapshot) {
         value["snapshot"] = update.snapshot->snapshot();
         return value;
--- a/src/libpapayabridge/session/callers/caller_session.cpp
+++ b/src/libpapayabridge/session/callers/caller_session.cpp
@@ -1,5 +1,7 @@
 #include "caller_session.hpp"
 
+#include "core/accounts/account_directory.hpp"
+
 #include "net/tcp_options.hpp"
 
 #include <array>
@@ -158,6 +160,7 @@
         co_return false;
     }
     state_.database = opening->database;
+    state_.key = opening->key;
     if (!co_await wait_for_configuration()) {
         auto reason = fail(error_kind::overloaded, "no configuration is known yet");
         co_await refuse_session(reason);
@@ -168,6 +171,10 @@
         co_await refuse_session(reason);
         co_return false;
     }
+    if (auto refused = authenticate(*route())) {
+        co_await refuse_session(*refused);
+        co_return false;
+    }
     std::string bytes;
     services_.caller_protocol.encode_opened(bytes);
     co_return co_await write(std::move(bytes));
@@ -275,6 +282,56 @@
     co_return success_answer();
 }
 
+// A caller whose key is not known any more, or cannot be confirmed here, is told so and
+// its session closed when it is idle.
+std::optional<error> caller_session::authenticate(const pooled_route& used)
+{
+    directory_validity validity{.max_age = services_.max_key_age};
+    if (services_.view_complete_at) {
+        validity.age = boottime_now() - *services_.view_complete_at;
+    }
+    auto account =
+        resolve_account(services_.view->configuration, used, state_.key, validity);
+    if (!account) {
+        state_.should_reconnect = true;
+        return account.error();
+    }
+    state_.account = std::move(account.value());
+    return std::nullopt;
+}
+
+net::awaitable<std::optional<error>> caller_session::authorize(const pooled_route& used)
+{
+    auto refused = authenticate(used);
+    if (!refused && transaction_ && transaction_->is_admitted &&
+        transaction_->account != state_.account)
+    {
+        refused = fail(error_kind::unauthorized,
+                       "the access key belongs to another account now");
+    }
+    bool starts = !transaction_ || !transaction_->is_admitted;
+    if (!refused && starts && services_.limiter != nullptr && !state_.account.empty()) {
+        auto deadline = steady_clock::now() + used.target;
+        auto decision = co_await services_.limiter->admit(state_.account, deadline);
+        if (!decision.is_admitted) {
+            refused = fail(error_kind::overloaded,
+                           "account " + state_.account.str() +
+                               " is at its limit; retry after " +
+                               std::to_string(decision.retry_after.count()) + " ms");
+        }
+    }
+    if (transaction_ && !refused) {
+        transaction_->account = state_.account;
+        transaction_->is_admitted = true;
+    }
+    if (transaction_ && refused) {
+        // Rolls back what the member holds.
+        transaction_->at_member.reset();
+        transaction_->failed = true;
+    }
+    co_return refused;
+}
+
 net::awaitable<statement_answer> caller_session::commit(const statement& stmt)
 {
     if (!transaction_) {
@@ -286,6 +343,11 @@
         end_transaction();
         co_return failed_answer(std::move(reason));
     }
+    auto refused = co_await authorize(transaction_->route);
+    if (refused) {
+        end_transaction();
+        co_return failed_answer(std::move(*refused));
+    }
     auto answer = co_await runner_.run_in_transaction(stmt, *transaction_);
     end_transaction();
     answer.phase = session_phase::idle;
@@ -306,6 +368,10 @@
             fail(error_kind::bad_request, "no prepared statement is named " + stmt.name));
     }
     if (transaction_) {
+        auto refused = co_await authorize(transaction_->route);
+        if (refused) {
+            co_return failed_answer(std::move(*refused));
+        }
         co_return co_await runner_.run_in_transaction(stmt, *transaction_);
     }
     const auto* current_route = route();
@@ -315,6 +381,10 @@
                  "database " + state_.database.str() + " no longer exists"));
     }
     auto route_copy = *current_route;
+    auto refused = co_await authorize(route_copy);
+    if (refused) {
+        co_return failed_answer(std::move(*refused));
+    }
     co_return co_await runner_.run_alone(stmt, route_copy);
 }
 
--- a/src/libpapayabridge/session/callers/caller_session.hpp
+++ b/src/libpapayabridge/session/callers/caller_session.hpp
@@ -38,6 +38,11 @@
     net::awaitable<statement_answer> answer(const statement& stmt);
     statement_answer refuse_unknown(const unknown_statement& unknown) const;
 
+    /// Resolves the caller's account for a statement on \p used, and has the operation
+    /// admitted if the statement starts it. Returns why the statement is refused.
+    net::awaitable<std::optional<error>> authorize(const pooled_route& used);
+    std::optional<error> authenticate(const pooled_route& used);
+
     net::awaitable<statement_answer> begin(const statement& stmt);
     net::awaitable<statement_answer> commit(const statement& stmt);
     net::awaitable<statement_answer> roll_back(const statement& stmt);
--- a/src/libpapayabridge/session/callers/statement_runner.cpp
+++ b/src/libpapayabridge/session/callers/statement_runner.cpp
@@ -180,6 +180,7 @@
                            .members = candidates.members,
                            .work = work_of(run),
                            .scope = scope,
+                           .account = session_.account,
                            .rank = run.route.rank,
                            .needs_primary = !candidates.min_position,
                            .at_least = candidates.min_position,
--- a/src/libpapayabridge/session/callers/statement_runner.hpp
+++ b/src/libpapayabridge/session/callers/statement_runner.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/routing/position_samples.hpp"
+#include "session/limits/operation_limiter.hpp"
 #include "session/members/member_access.hpp"
 #include "session/members/member_pool.hpp"
 #include "statement_report.hpp"
@@ -25,12 +26,24 @@
     statement_report& report;
     /// Whether the last keeper call succeeded, so that changes of primary are noticed.
     bool keepers_reachable = true;
+    /// When the view was known to hold every accepted change, by boottime_now(). Empty if
+    /// it never was.
+    std::optional<position_samples::time> view_complete_at;
+    /// Age of the view up to which access keys may be used; empty if they are not
+    /// withdrawn.
+    std::optional<position_samples::time> max_key_age;
+    /// Limits the operations of accounts; null if there are no limits.
+    operation_limiter* limiter = nullptr;
 };
 
 /// A session's state between statements.
 struct session_state
 {
     database_name database;
+    /// The caller's access key.
+    access_key_digest key;
+    /// The account of the statement that runs.
+    account_name account;
     session_values values;
     /// Position of the session's last acknowledged commit.
     std::optional<position> last_commit;
@@ -43,6 +56,10 @@
 struct session_transaction
 {
     pooled_route route;
+    /// The account for which it runs.
+    account_name account;
+    /// Whether an operation of the account was admitted for it.
+    bool is_admitted = false;
     bool read_only = false;
     /// Empty until the first statement is sent; before that, no member knows the
     /// transaction.
--- a/src/libpapayabridge/session/gate/gate_link.cpp
+++ b/src/libpapayabridge/session/gate/gate_link.cpp
@@ -422,6 +422,7 @@
     message.call = gate_call::run;
     message.service = request.service;
     message.member = request.members.front();
+    message.account = request.account;
     message.scope = request.scope;
     message.rank = request.rank;
     message.needs_primary = request.needs_primary;
--- a/src/libpapayabridge/session/gate/gate_server.cpp
+++ b/src/libpapayabridge/session/gate/gate_server.cpp
@@ -143,6 +143,7 @@
                            .members = {message.member},
                            .work = work_of(message),
                            .scope = message.scope,
+                           .account = message.account,
                            .rank = message.rank,
                            .needs_primary = message.needs_primary,
                            .at_least = message.at_least,
--- a/src/libpapayabridge/session/gate/gate_wire.cpp
+++ b/src/libpapayabridge/session/gate/gate_wire.cpp
@@ -115,6 +115,7 @@
         found.index = log_index(parts.number());
         return found;
     }
+    bool has_more() const { return at_ < fields_.size(); }
     void finish() const
     {
         if (at_ != fields_.size()) {
@@ -245,6 +246,9 @@
         message.refuse_if_busy = fields.flag();
         message.at_least = fields.log_position();
         message.wait = fields.time<std::chrono::milliseconds>();
+        if (fields.has_more()) {
+            message.account = account_name(fields.text());
+        }
     }
     fields.finish();
     return message;
@@ -304,6 +308,9 @@
         fields.push_back(message.refuse_if_busy);
         fields.push_back(encode_position(message.at_least));
         fields.push_back(static_cast<std::uint64_t>(message.wait.count()));
+        if (!message.account.empty()) {
+            fields.push_back(message.account.str());
+        }
     }
     return pack(fields);
 }
--- a/src/libpapayabridge/session/gate/gate_wire.hpp
+++ b/src/libpapayabridge/session/gate/gate_wire.hpp
@@ -36,6 +36,8 @@
     std::uint64_t transaction = 0;
     service_name service;
     member_id member;
+    /// Left out of the encoding if empty.
+    account_name account;
     run_scope scope = run_scope::single;
     unsigned rank = 0;
     bool needs_primary = false;
--- a/src/libpapayabridge/session/gate/gate_wire_test.cpp
+++ b/src/libpapayabridge/session/gate/gate_wire_test.cpp
@@ -14,6 +14,7 @@
     message.transaction = 7;
     message.service = service_name("svc");
     message.member = member_id("i-1");
+    message.account = account_name("acme");
     message.scope = run_scope::begin_read_only;
     message.rank = 2;
     message.needs_primary = true;
@@ -59,6 +60,7 @@
     EXPECT_EQ(message.transaction, sent.transaction);
     EXPECT_EQ(message.service, sent.service);
     EXPECT_EQ(message.member, sent.member);
+    EXPECT_EQ(message.account, sent.account);
     EXPECT_EQ(message.scope, sent.scope);
     EXPECT_EQ(message.rank, sent.rank);
     EXPECT_TRUE(message.needs_primary);
--- a/src/libpapayabridge/session/gate/gated_access.cpp
+++ b/src/libpapayabridge/session/gate/gated_access.cpp
@@ -39,8 +39,7 @@
 struct gated_access::member_gates
 {
     domain_name domain;
-    std::size_t count = 0;
-    std::vector<entry_id> chosen;
+    std::vector<entry_id> ordered;
 };
 
 gated_access::gated_access(gated_access_options options)
@@ -68,11 +67,11 @@
                   [&](const auto& row) { return now - row.second.last > direct_after; });
 }
 
-const std::vector<entry_id>& gated_access::gates_of(const viewed_member& member)
+std::vector<entry_id> gated_access::gates_for(const viewed_member& member,
+                                              const account_name& account)
 {
     auto& known = gates_[member.run.id];
-    bool is_current = !known.chosen.empty() && known.domain == member.domain &&
-                      known.count == member.gates;
+    bool is_current = !known.ordered.empty() && known.domain == member.domain;
     if (!is_current) {
         std::vector<gate_candidate> candidates;
         for (const auto& [id, entry] : view_->gate_entries) {
@@ -81,13 +80,15 @@
                                   .distance = view_->location.distance_between(
                                       entry.domain, member.domain)});
         }
-        auto ordered = order_gates(member.run.id, std::move(candidates));
         known = {.domain = member.domain,
-                 .count = member.gates,
-                 .chosen = choose_gates(options_.self, member.run.id, ordered,
-                                        member.gates, max_choices)};
+                 .ordered = order_gates(member.run.id, std::move(candidates))};
     }
-    return known.chosen;
+    if (!account.empty()) {
+        return choose_account_gates(account, member.run.id, known.ordered, member.gates,
+                                    max_choices);
+    }
+    return choose_gates(options_.self, member.run.id, known.ordered, member.gates,
+                        max_choices);
 }
 
 gate_link* gated_access::link_to(const entry_id& gate)
@@ -174,7 +175,8 @@
     narrowed.members = {member};
     const auto* service = view_->service(request.service);
     const auto* viewed = service != nullptr ? service->member(member) : nullptr;
-    auto gates = viewed != nullptr ? gates_of(*viewed) : std::vector<entry_id>();
+    auto gates =
+        viewed != nullptr ? gates_for(*viewed, request.account) : std::vector<entry_id>();
     std::optional<member_outcome> refused;
     bool is_unknown = false;
     for (const auto& gate : gates) {
--- a/src/libpapayabridge/session/gate/gated_access.hpp
+++ b/src/libpapayabridge/session/gate/gated_access.hpp
@@ -40,7 +40,10 @@
     net::awaitable<member_outcome> run_through_gates(member_request request);
     net::awaitable<member_outcome> run_at(const member_request& request,
                                           const member_id& member);
-    const std::vector<entry_id>& gates_of(const viewed_member& member);
+    /// The gates of \p member and their standbys, in the order in which a statement of
+    /// \p account tries them.
+    std::vector<entry_id> gates_for(const viewed_member& member,
+                                    const account_name& account);
     gate_link* link_to(const entry_id& gate);
     void record_use(const member_id& member, const member_request& request,
                     const member_outcome& outcome);
--- a/src/libpapayabridge/session/gate/statement_gate_test.cpp
+++ b/src/libpapayabridge/session/gate/statement_gate_test.cpp
@@ -65,8 +65,8 @@
     {
         return member_status();
     }
-    void encode_opening(std::string&, const service_name&,
-                        const member_id&) const override
+    void encode_opening(std::string&, const service_name&, const member_id&,
+                        const account_name&) const override
     {
     }
     void encode_reset(std::string&) const override {}
--- a/src/libpapayabridge/session/members/local_access.cpp
+++ b/src/libpapayabridge/session/members/local_access.cpp
@@ -205,6 +205,7 @@
     connection_request wanted{.service = request.service,
                               .members = request.members,
                               .session = request.work.session,
+                              .account = request.account,
                               .rank = request.rank,
                               .needs_primary = request.needs_primary,
                               .wait_until = request.wait_until};
--- a/src/libpapayabridge/session/members/member_access.hpp
+++ b/src/libpapayabridge/session/members/member_access.hpp
@@ -51,6 +51,8 @@
     std::vector<member_id> members;
     session_statement work;
     run_scope scope = run_scope::single;
+    /// The account for which it runs; empty for none.
+    account_name account;
     /// Priority of the statement; 0 is the most urgent.
     unsigned rank = 0;
     /// Whether only the primary can run the statement.
--- a/src/libpapayabridge/session/members/member_connection.cpp
+++ b/src/libpapayabridge/session/members/member_connection.cpp
@@ -52,7 +52,7 @@
 net::awaitable<result<void>> member_connection::start_session(time_point deadline)
 {
     std::string opening;
-    codec_.encode_opening(opening, address_.service, address_.id);
+    codec_.encode_opening(opening, address_.service, address_.id, address_.account);
     auto sent = co_await send(std::move(opening), deadline);
     if (!sent) {
         co_return sent;
--- a/src/libpapayabridge/session/members/member_connection.hpp
+++ b/src/libpapayabridge/session/members/member_connection.hpp
@@ -16,6 +16,8 @@
     tcp::endpoint endpoint;
     service_name service;
     member_id id;
+    /// The account for which its statements run; empty for none.
+    account_name account;
 };
 
 /// A connection with an open session. Not thread-safe. Unusable after any error.
--- a/src/libpapayabridge/session/members/member_pool.cpp
+++ b/src/libpapayabridge/session/members/member_pool.cpp
@@ -173,36 +173,53 @@
     return steady_clock::now() < health(member).denies_primary_until;
 }
 
-std::unique_ptr<member_connection> member_pool::pop_idle(member_state& state,
-                                                         const session_values& session)
+bool member_pool::has_room(const member_state& state)
 {
-    while (!state.idle.empty()) {
-        auto prepared =
-            std::find_if(state.idle.begin(), state.idle.end(), [&](const auto& idle) {
-                return session_values_match(idle->contents, session);
-            });
-        // Otherwise prefer the most recently used connection: its buffers are warm, and
-        // the others can reach the idle limit.
-        auto candidate =
-            prepared == state.idle.end() ? std::prev(state.idle.end()) : prepared;
-        auto connection = std::move(*candidate);
-        state.idle.erase(candidate);
-        if (connection->is_reusable()) {
+    return state.open_count < state.max_open && steady_clock::now() >= state.full_until;
+}
+
+connection_choice member_pool::choose(const member_state& state,
+                                      const connection_request& request, bool can_open)
+{
+    std::vector<idle_connection> idle;
+    idle.reserve(state.idle.size());
+    for (const auto& connection : state.idle) {
+        idle.push_back({.account = connection->address().account,
+                        .matches_session = session_values_match(connection->contents,
+                                                                *request.session)});
+    }
+    return choose_connection(idle, request.account, can_open);
+}
+
+std::unique_ptr<member_connection>
+member_pool::take_idle(member_state& state, const connection_request& request)
+{
+    using enum connection_choice::action;
+    while (true) {
+        auto choice = choose(state, request, has_room(state));
+        if (choice.what == open || choice.what == wait) {
+            return nullptr;
+        }
+        auto at = state.idle.begin() + static_cast<std::ptrdiff_t>(choice.index);
+        auto connection = std::move(*at);
+        state.idle.erase(at);
+        if (choice.what == use && connection->is_reusable()) {
             return connection;
         }
         --state.open_count;
     }
-    return nullptr;
 }
 
-net::awaitable<result<pooled_connection>> member_pool::open(member_id member,
-                                                            time_point deadline)
+net::awaitable<result<pooled_connection>>
+member_pool::open(member_id member, std::optional<account_name> account,
+                  time_point deadline)
 {
     auto* state = find_member(member);
-    ++state->open_count;
     auto until = std::min(deadline, steady_clock::now() + open_timeout);
+    auto address = state->address;
+    address.account = account.value_or(account_name());
     auto opened =
-        co_await member_connection::open(executor_, codec_, state->address, until);
+        co_await member_connection::open(executor_, codec_, std::move(address), until);
     if (opened) {
         record_success(member, false);
         co_return pooled_connection(*this, std::move(opened.value()));
@@ -234,34 +251,33 @@
             failure = std::move(*obstacle);
             continue;
         }
-        auto idle = pop_idle(*state, *request.session);
+        auto idle = take_idle(*state, request);
         if (idle) {
             co_return pooled_connection(*this, std::move(idle));
         }
-        if (state->open_count >= state->max_open || now < state->full_until) {
+        if (!has_room(*state)) {
             failure = fail(error_kind::overloaded,
                            "all connections to " + member.str() + " are in use");
             continue;
         }
         // The whole timeout applies even if this statement may wait only briefly,
         // because later statements can use the connection.
-        auto opened = co_await open(member, now + open_timeout);
+        ++state->open_count;
+        auto opened = co_await open(member, request.account, now + open_timeout);
         if (opened) {
             co_return opened;
         }
         failure = opened.error();
     }
     if (steady_clock::now() < request.wait_until) {
-        auto granted = co_await wait_for_connection(request);
-        if (granted) {
-            co_return pooled_connection(*this, std::move(granted));
-        }
+        auto granted = co_await wait_for_connection(request, failure);
+        co_return granted;
     }
     co_return failure;
 }
 
-net::awaitable<std::unique_ptr<member_connection>>
-member_pool::wait_for_connection(const connection_request& request)
+net::awaitable<result<pooled_connection>>
+member_pool::wait_for_connection(const connection_request& request, error failure)
 {
     auto until = request.wait_until;
     for (const auto& member : request.members) {
@@ -280,22 +296,33 @@
     auto queued = waiters_.insert(waiters_.end(), &self);
     co_await self.wakeup.async_wait(net::as_tuple(net::use_awaitable));
     waiters_.erase(queued);
-    co_return std::move(self.granted);
+    if (self.granted) {
+        co_return pooled_connection(*this, std::move(self.granted));
+    }
+    if (self.may_open) {
+        auto opened = co_await open(*self.may_open, request.account,
+                                    steady_clock::now() + open_timeout);
+        co_return opened;
+    }
+    co_return failure;
 }
 
 std::list<member_pool::waiter*>::iterator
-member_pool::best_waiter(const member_id& member)
+member_pool::best_waiter(const member_id& member,
+                         const std::optional<account_name>& account)
 {
     auto best = waiters_.end();
     for (auto waiting = waiters_.begin(); waiting != waiters_.end(); ++waiting) {
         const auto& wanted = (*waiting)->request->members;
         bool is_acceptable =
             std::find(wanted.begin(), wanted.end(), member) != wanted.end();
-        bool is_waiting = !(*waiting)->granted;
+        const auto& wants = (*waiting)->request->account;
+        bool is_waiting = !(*waiting)->granted && !(*waiting)->may_open;
+        bool is_served = !account || !wants || *wants == *account;
         auto* state = find_member(member);
         bool is_allowed =
             state == nullptr || !find_obstacle(*state, *(*waiting)->request);
-        if (is_acceptable && is_waiting && is_allowed &&
+        if (is_acceptable && is_waiting && is_allowed && is_served &&
             (best == waiters_.end() ||
              (*waiting)->request->rank < (*best)->request->rank))
         {
@@ -318,14 +345,35 @@
         on_closed(id);
         return;
     }
-    connection->idle_since = steady_clock::now();
-    state->idle.push_back(std::move(connection));
-    auto next = best_waiter(member);
+    auto next = best_waiter(member, connection->address().account);
     if (next != waiters_.end()) {
-        (*next)->granted = std::move(state->idle.back());
-        state->idle.pop_back();
+        (*next)->granted = std::move(connection);
         (*next)->wakeup.cancel();
+        return;
+    }
+    connection->idle_since = steady_clock::now();
+    state->idle.push_back(std::move(connection));
+    pass_on_room(state->address.id, *state);
+}
+
+// Statements of other accounts cannot use what is idle. The connection that has rested
+// longest makes room for the best of them.
+void member_pool::pass_on_room(const member_id& member, member_state& state)
+{
+    auto next = best_waiter(member, std::nullopt);
+    if (next == waiters_.end() || (state.idle.empty() && !has_room(state))) {
+        return;
+    }
+    if (!has_room(state)) {
+        state.idle.erase(state.idle.begin());
+        --state.open_count;
+    }
+    if (steady_clock::now() < state.full_until) {
+        return;
     }
+    ++state.open_count;
+    (*next)->may_open = member;
+    (*next)->wakeup.cancel();
 }
 
 void member_pool::on_closed(const member_id& member)
@@ -340,7 +388,7 @@
         members_.erase(found);
         return;
     }
-    auto next = best_waiter(member);
+    auto next = best_waiter(member, std::nullopt);
     if (next != waiters_.end()) {
         (*next)->wakeup.cancel();
     }
--- a/src/libpapayabridge/session/members/member_pool.hpp
+++ b/src/libpapayabridge/session/members/member_pool.hpp
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include "core/accounts/connection_choice.hpp"
 #include "core/routing/lag_avoidance.hpp"
 #include "core/routing/leaving_clock.hpp"
 #include "member_connection.hpp"
@@ -48,6 +49,8 @@
     /// Acceptable members in order of preference.
     std::vector<member_id> members;
     const session_values* session = nullptr;
+    /// The account to which the connection must belong; nothing if any will do.
+    std::optional<account_name> account;
     /// Priority of the statement; 0 is the most urgent.
     unsigned rank = 0;
     /// Whether only the primary can run the statement.
@@ -141,6 +144,8 @@
         const connection_request* request = nullptr;
         net::steady_timer wakeup;
         std::unique_ptr<member_connection> granted;
+        /// The member to which it may open a connection in place of one that was closed.
+        std::optional<member_id> may_open;
     };
 
     member_state* find_member(const member_id& member);
@@ -149,12 +154,23 @@
                                               bool needs_primary);
     static std::optional<error> find_obstacle(const member_state& state,
                                               const connection_request& request);
-    std::unique_ptr<member_connection> pop_idle(member_state& state,
-                                                const session_values& session);
-    net::awaitable<result<pooled_connection>> open(member_id member, time_point deadline);
-    net::awaitable<std::unique_ptr<member_connection>>
-    wait_for_connection(const connection_request& request);
-    std::list<waiter*>::iterator best_waiter(const member_id& member);
+    static connection_choice choose(const member_state& state,
+                                    const connection_request& request, bool can_open);
+    /// Takes an idle connection for \p request. Makes room for another one if there is
+    /// none to take but one to give up.
+    std::unique_ptr<member_connection> take_idle(member_state& state,
+                                                 const connection_request& request);
+    static bool has_room(const member_state& state);
+    /// Opens a connection that is counted in `open_count` already.
+    net::awaitable<result<pooled_connection>>
+    open(member_id member, std::optional<account_name> account, time_point deadline);
+    net::awaitable<result<pooled_connection>>
+    wait_for_connection(const connection_request& request, error failure);
+    /// The best waiter for a connection of \p member that belongs to \p account, or for
+    /// any if it is empty.
+    std::list<waiter*>::iterator best_waiter(const member_id& member,
+                                             const std::optional<account_name>& account);
+    void pass_on_room(const member_id& member, member_state& state);
     void on_released(std::unique_ptr<member_connection> connection);
     void on_closed(const member_id& member);
     void wake_waiters();
--- a/src/libpapayabridge/session/session_entry.cpp
+++ b/src/libpapayabridge/session/session_entry.cpp
@@ -16,6 +16,9 @@
 // core/promotion/commit_proof.
 constexpr std::chrono::milliseconds watch_wait{400};
 constexpr std::chrono::milliseconds watch_retry{60};
+// Part of the time for the withdrawal of keys for which a copy of the directory is used.
+// The rest is for clocks that run at different speeds.
+constexpr int max_key_age_percent = 80;
 // If no majority of keepers confirms the state within this time, the entry uses the
 // state it receives.
 constexpr std::chrono::milliseconds confirmation_wait{3000};
@@ -78,6 +81,9 @@
       acceptor_(runtime.control_context()), incarnation_(new_incarnation())
 {
     local_.use_verifier(verifier_);
+    if (settings_.key_withdrawal) {
+        services_.max_key_age = *settings_.key_withdrawal * max_key_age_percent / 100;
+    }
 }
 
 session_entry::~session_entry() = default;
@@ -198,11 +204,20 @@
             log_followed_keeper(followed);
         }
         auto asked = steady_clock::now();
-        auto update = co_await keepers_.watch(from, watch_wait, self, !state_confirmed_);
+        auto asked_boottime = boottime_now();
+        watch_options options{.confirm = !state_confirmed_,
+                              .wants_confirmed_age = services_.max_key_age.has_value()};
+        auto update = co_await keepers_.watch(from, watch_wait, self, options);
         if (update) {
             bool is_current = update.value().is_current;
             auto state_age = update.value().state_age;
+            auto confirmed_age = update.value().confirmed_age;
             apply_update(std::move(update.value()));
+            if (confirmed_age && state_confirmed_) {
+                auto complete_at = asked_boottime - *confirmed_age;
+                services_.view_complete_at = std::max(
+                    services_.view_complete_at.value_or(complete_at), complete_at);
+            }
             if (is_current && state_confirmed_) {
                 state_current_at_ = steady_clock::now();
                 verifier_.record_complete_view(asked - state_age);
--- a/src/libpapayabridge/session/session_settings.cpp
+++ b/src/libpapayabridge/session/session_settings.cpp
@@ -38,6 +38,10 @@
     }
     settings.member_drain =
         section.duration("member_drain_ms", grace_ms, settings.member_drain);
+    if (section.has("key_withdrawal_ms")) {
+        settings.key_withdrawal =
+            section.duration("key_withdrawal_ms", grace_ms, std::chrono::seconds(5));
+    }
     settings.stop_grace =
         section.duration("stop_grace_ms", grace_ms, settings.stop_grace);
     return settings;
--- a/src/libpapayabridge/session/session_settings.hpp
+++ b/src/libpapayabridge/session/session_settings.hpp
@@ -27,6 +27,9 @@
     std::vector<tcp::endpoint> seeds;
     /// How long a leaving member keeps serving statements.
     std::chrono::milliseconds member_drain{7000};
+    /// Time after the acknowledgement of a configuration in which an access key that it
+    /// withdrew may still be used; empty if keys need not be withdrawn in time.
+    std::optional<std::chrono::milliseconds> key_withdrawal;
     /// Time from the stop signal until the process is killed.
     std::chrono::milliseconds stop_grace{6000};
 };
--- a/src/papayakeeper/applied_state.cpp
+++ b/src/papayakeeper/applied_state.cpp
@@ -36,6 +36,12 @@
                                             {"condition", "started"},
                                             {"accepted", "true"}});
     }
+    if (std::holds_alternative<read_barrier>(change)) {
+        // Nothing that a watcher needs to hear of.
+        advance(index);
+        return outcome;
+    }
+    last_change_ = index;
     recent_commands_.push_back({.index = index, .change = change});
     if (recent_commands_.size() > max_kept_commands) {
         discarded_through_ = recent_commands_.front().index;
@@ -56,6 +62,7 @@
     state_ = std::move(state);
     recent_commands_.clear();
     discarded_through_ = state_.applied_index();
+    last_change_ = state_.applied_index();
     advance(index);
     wake_watchers();
 }
@@ -80,7 +87,7 @@
 net::awaitable<void> applied_state::wait_for_command_after(control_index from,
                                                            time_point deadline)
 {
-    if (state_.applied_index() > from) {
+    if (last_change_ > from) {
         co_return;
     }
     net::steady_timer timer(executor_, deadline);
--- a/src/papayakeeper/applied_state.hpp
+++ b/src/papayakeeper/applied_state.hpp
@@ -40,6 +40,8 @@
     net::any_io_executor executor_;
     control_state state_;
     control_index applied_;
+    /// The last command that changed something.
+    control_index last_change_;
     /// Commands up to this index are no longer kept.
     control_index discarded_through_;
     std::deque<indexed_command> recent_commands_;
--- a/src/papayakeeper/keeper_service.cpp
+++ b/src/papayakeeper/keeper_service.cpp
@@ -2,6 +2,10 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <papayabridge/json.hpp>
 
 namespace papayabridge {
@@ -10,6 +14,10 @@
 
 constexpr std::chrono::milliseconds propose_timeout{1400};
 constexpr std::chrono::milliseconds confirm_timeout{700};
+// How often the state is confirmed while watchers need to know its age, and for how long
+// after the last of them.
+constexpr std::chrono::milliseconds confirm_interval{500};
+constexpr std::chrono::seconds confirm_demand{5};
 constexpr std::uint64_t max_wait_ms = 30'000;
 constexpr std::chrono::milliseconds leaderless_wait{50};
 constexpr int watches_per_timeout = 3;
@@ -101,6 +109,15 @@
                                                                     confirm_timeout);
         is_up_to_date = bool(confirmed);
     }
+    bool wants_age = flag_of(request.body, "dated");
+    if (wants_age) {
+        confirm_until_ = boottime_now() + confirm_demand;
+        if (!is_confirming_) {
+            is_confirming_ = true;
+            auto executor = co_await net::this_coro::executor;
+            net::co_spawn(executor, keep_confirmed(), net::detached);
+        }
+    }
     auto& applied = replicated_.applied();
     auto deadline = steady_clock::now() + wait;
     if (!replicated_.is_current()) {
@@ -113,11 +130,38 @@
     update.is_current = replicated_.is_current();
     update.state_age = replicated_.state_age().value_or(std::chrono::milliseconds(0));
     update.is_up_to_date = is_up_to_date;
+    if (wants_age) {
+        update.confirmed_age = confirmed_age();
+    }
     rpc_message answer;
     answer.body = to_value(update);
     co_return answer;
 }
 
+net::awaitable<void> keeper_service::keep_confirmed()
+{
+    net::steady_timer timer(co_await net::this_coro::executor);
+    while (boottime_now() < confirm_until_) {
+        auto asked = boottime_now();
+        auto confirmed = co_await replicated_.wait_for_read_barrier(steady_clock::now() +
+                                                                    confirm_timeout);
+        if (confirmed) {
+            confirmed_at_ = asked;
+        }
+        timer.expires_after(confirm_interval);
+        co_await timer.async_wait(net::as_tuple(net::use_awaitable));
+    }
+    is_confirming_ = false;
+}
+
+std::optional<std::chrono::milliseconds> keeper_service::confirmed_age() const
+{
+    if (!confirmed_at_) {
+        return std::nullopt;
+    }
+    return std::chrono::ceil<std::chrono::milliseconds>(boottime_now() - *confirmed_at_);
+}
+
 net::awaitable<result<rpc_message>> keeper_service::status(rpc_message)
 {
     rpc_message answer;
--- a/src/papayakeeper/keeper_service.hpp
+++ b/src/papayakeeper/keeper_service.hpp
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "core/routing/position_samples.hpp"
 #include "promotion_controller.hpp"
 #include "replicator.hpp"
 
@@ -36,10 +37,19 @@
     net::awaitable<result<rpc_message>> report_trouble(rpc_message request);
     net::awaitable<result<rpc_message>> report_commits(rpc_message request);
 
+    /// Confirms the state again and again while watchers ask how old it may be, once for
+    /// all of them.
+    net::awaitable<void> keep_confirmed();
+    std::optional<std::chrono::milliseconds> confirmed_age() const;
+
     const keeper_settings& settings_;
     replicator& replicated_;
     event_log& events_;
     promotion_controller* promotion_controller_ = nullptr;
+    bool is_confirming_ = false;
+    /// These two count the time for which the machine was suspended.
+    position_samples::time confirm_until_{0};
+    std::optional<position_samples::time> confirmed_at_;
 };
 
 } // namespace papayabridge
