--- a/src/include/papayabridge/keeper_client.hpp
+++ b/src/include/papayabridge/keeper_client.hpp
@@ -89,6 +89,12 @@
 };
 
 Json::Value to_value(const watch_update& update);
+/// The same with the part that holds the snapshot or the commands already encoded, so
+/// that watchers with the same needs share it.
+Json::Value to_value(const watch_update& update, Json::Value changes);
+Json::Value changes_of(const watch_update& update);
+/// Deflates \p changes unless they are short.
+Json::Value pack_changes(Json::Value changes);
 result<watch_update> watch_update_from(const Json::Value& value);
 Json::Value to_value(const keeper_status& status);
 result<keeper_status> keeper_status_from(const Json::Value& value);
@@ -122,9 +128,9 @@
     /// The status of the keeper at \p keeper.
     net::awaitable<result<keeper_status>> status(tcp::endpoint keeper);
 
-    /// Reports an unusable member to all keepers, without waiting for answers.
+    /// Reports an unusable member to the keepers, without waiting for answers.
     void report_member_trouble(const member_failure& trouble);
-    /// Tells all keepers what was acknowledged of a suspected primary's commits. Returns
+    /// Tells the keepers what was acknowledged of a suspected primary's commits. Returns
     /// at once; the report may be lost.
     void report_commits(const commit_report& report);
 
@@ -151,7 +157,7 @@
     /// Selects the keeper after \p asked, unless another was selected meanwhile.
     void advance_from(const tcp::endpoint& asked);
     const tcp::endpoint& select_keeper();
-    void tell_all(const char* method, const rpc_message& message);
+    void tell(const char* method, rpc_message message);
 
     net::any_io_executor executor_;
     std::shared_ptr<rpc_clients> clients_;
--- a/src/libpapayabridge/net/keeper_client.cpp
+++ b/src/libpapayabridge/net/keeper_client.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds watch_grace{700};
 constexpr std::chrono::milliseconds status_timeout{1000};
 constexpr std::chrono::milliseconds tell_timeout{300};
+// Keepers that are told of a problem. Of five or more, two may be lost at once.
+constexpr std::size_t told_keepers = 3;
 
 // Errors that another keeper, or a later attempt, may not give.
 bool is_worth_resending(error_kind kind)
@@ -41,8 +43,8 @@
 }
 
 // Repeated by the caller while it holds, so that a lost call does no harm.
-net::awaitable<void> tell(rpc_client* keeper, const char* method, rpc_message message,
-                          time_point deadline)
+net::awaitable<void> call_once(rpc_client* keeper, const char* method,
+                               rpc_message message, time_point deadline)
 {
     static_cast<void>(co_await keeper->call(method, std::move(message), deadline));
 }
@@ -126,14 +128,18 @@
     }
 }
 
-// To each keeper: the one that is asked otherwise may be in trouble, too, and only the
-// one that leads acts on it.
-void keeper_client::tell_all(const char* method, const rpc_message& message)
+// To several keepers: the one that is asked otherwise may be in trouble, too, and only
+// the one that leads acts on it. In a small group it is among them; in a larger one they
+// pass the message on to it.
+void keeper_client::tell(const char* method, rpc_message message)
 {
     auto deadline = steady_clock::now() + tell_timeout;
-    for (const auto& place : keepers_) {
+    message.body["forwarded"] = keepers_.size() <= told_keepers;
+    auto count = std::min(keepers_.size(), told_keepers);
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto& place = keepers_[(selection_->current + i) % keepers_.size()];
         net::co_spawn(executor_,
-                      tell(&clients_->client_to(place), method, message, deadline),
+                      call_once(&clients_->client_to(place), method, message, deadline),
                       net::detached);
     }
 }
@@ -142,15 +148,14 @@
 {
     rpc_message request;
     request.body = to_value(trouble);
-    request.body["forwarded"] = true;
-    tell_all("keeper.trouble", request);
+    tell("keeper.trouble", std::move(request));
 }
 
 void keeper_client::report_commits(const commit_report& report)
 {
     rpc_message request;
     request.body = to_value(report);
-    tell_all("keeper.commits", request);
+    tell("keeper.commits", std::move(request));
 }
 
 net::awaitable<result<command_outcome>> keeper_client::propose(command change,
@@ -198,6 +203,7 @@
     request.body["entry"] = entry.id.str();
     request.body["incarnation"] = Json::UInt64(entry.incarnation);
     request.body["confirm"] = options.confirm;
+    request.body["packed"] = true;
     if (options.wants_confirmed_age) {
         request.body["dated"] = true;
     }
--- a/src/libpapayabridge/net/keeper_messages.cpp
+++ b/src/libpapayabridge/net/keeper_messages.cpp
@@ -1,5 +1,7 @@
 // JSON form of the messages of keeper_client.hpp.
 
+#include "core/control/packed_text.hpp"
+
 #include <papayabridge/json.hpp>
 #include <papayabridge/keeper_client.hpp>
 
@@ -56,9 +58,25 @@
     return peer;
 }
 
+// Deeper than any command or snapshot.
+constexpr unsigned max_update_depth = 64;
+// Shorter changes are not packed: little would be saved.
+constexpr std::size_t min_packed_bytes = 600;
 // A longer age changes no decision, and more would not fit into a time point.
 constexpr std::uint64_t max_state_age_ms = 60ULL * 60 * 1000;
 
+// The part of the answer that holds the snapshot or the commands.
+result<Json::Value> changes_from(const Json::Value& value)
+{
+    if (!value["packed"].isString()) {
+        return value;
+    }
+    BOOST_OUTCOME_TRY(auto text, unpack_text(value["packed"].asString()));
+    json_options options;
+    options.max_depth = max_update_depth;
+    return parse_json(text, options);
+}
+
 result<watch_update> decode_watch_update(const Json::Value& value)
 {
     if (!value.isObject() || !value["applied"].isUInt64()) {
@@ -75,14 +93,18 @@
         update.confirmed_age = std::chrono::milliseconds(
             std::min(number_of(value, "confirmed_ms"), max_state_age_ms));
     }
-    if (value["snapshot"].isObject()) {
-        auto state = control_state::from_snapshot(value["snapshot"]);
+    auto changes = changes_from(value);
+    if (!changes) {
+        return changes.error();
+    }
+    if (changes.value()["snapshot"].isObject()) {
+        auto state = control_state::from_snapshot(changes.value()["snapshot"]);
         if (!state) {
             return state.error();
         }
         update.snapshot = std::move(state.value());
     }
-    for (const auto& item : value["commands"]) {
+    for (const auto& item : changes.value()["commands"]) {
         auto change = command_from(item["command"]);
         if (!change) {
             return change.error();
@@ -120,17 +142,9 @@
 
 } // namespace
 
-Json::Value to_value(const watch_update& update)
+Json::Value changes_of(const watch_update& update)
 {
     Json::Value value;
-    value["applied"] = Json::UInt64(update.applied.value());
-    // The name of earlier versions, which meant contact with a leader only.
-    value["leader_known"] = update.is_current;
-    value["state_age_ms"] = Json::UInt64(update.state_age.count());
-    value["newest"] = update.is_up_to_date;
-    if (update.confirmed_age) {
-        value["confirmed_ms"] = Json::UInt64(update.confirmed_age->count());
-    }
     if (update.snapshot) {
         value["snapshot"] = update.snapshot->snapshot();
         return value;
@@ -145,6 +159,36 @@
     return value;
 }
 
+Json::Value pack_changes(Json::Value changes)
+{
+    auto text = to_json(changes);
+    if (text.size() < min_packed_bytes) {
+        return changes;
+    }
+    Json::Value value;
+    value["packed"] = pack_text(text);
+    return value;
+}
+
+Json::Value to_value(const watch_update& update, Json::Value changes)
+{
+    auto value = std::move(changes);
+    value["applied"] = Json::UInt64(update.applied.value());
+    // The name of earlier versions, which meant contact with a leader only.
+    value["leader_known"] = update.is_current;
+    value["state_age_ms"] = Json::UInt64(update.state_age.count());
+    value["newest"] = update.is_up_to_date;
+    if (update.confirmed_age) {
+        value["confirmed_ms"] = Json::UInt64(update.confirmed_age->count());
+    }
+    return value;
+}
+
+Json::Value to_value(const watch_update& update)
+{
+    return to_value(update, changes_of(update));
+}
+
 result<watch_update> watch_update_from(const Json::Value& value)
 {
     return decode_guarded("watch update", [&] { return decode_watch_update(value); });
--- a/src/papayakeeper/applied_state.hpp
+++ b/src/papayakeeper/applied_state.hpp
@@ -31,6 +31,7 @@
     net::awaitable<void> wait_for_command_after(control_index from, time_point deadline);
     /// Ends all waits of wait_for_command_after().
     void wake_watchers();
+    std::size_t watchers() const noexcept { return watcher_timers_.size(); }
 
     /// Index of the last applied log entry, with or without a command.
     control_index applied() const noexcept { return applied_; }
@@ -44,8 +45,26 @@
     control_index last_change_;
     /// Commands up to this index are no longer kept.
     control_index discarded_through_;
-    std::deque<indexed_command> recent_commands_;
+    struct kept_command
+    {
+        indexed_command command;
+        std::size_t bytes = 0;
+    };
+
+    void keep(control_index index, const command& change);
+    /// Wakes the watchers at \p due, or earlier if that is planned already.
+    void plan_update(time_point due);
+    std::size_t snapshot_bytes() const;
+
+    std::deque<kept_command> recent_commands_;
+    std::size_t kept_bytes_ = 0;
     std::set<net::steady_timer*> watcher_timers_;
+    net::steady_timer update_timer_;
+    std::optional<time_point> update_due_;
+    time_point last_update_;
+    /// The size of a snapshot at an index not long ago.
+    mutable std::size_t snapshot_bytes_ = 0;
+    mutable control_index measured_at_;
 };
 
 } // namespace papayabridge
--- a/src/papayakeeper/keeper_service.cpp
+++ b/src/papayakeeper/keeper_service.cpp
@@ -18,6 +18,8 @@
 // after the last of them.
 constexpr std::chrono::milliseconds confirm_interval{500};
 constexpr std::chrono::seconds confirm_demand{5};
+// Encoded changes that are kept for further watchers.
+constexpr std::size_t max_shared_changes = 16;
 constexpr std::uint64_t max_wait_ms = 30'000;
 constexpr std::chrono::milliseconds leaderless_wait{50};
 constexpr int watches_per_timeout = 3;
@@ -134,10 +136,27 @@
         update.confirmed_age = confirmed_age();
     }
     rpc_message answer;
-    answer.body = to_value(update);
+    answer.body = flag_of(request.body, "packed")
+                      ? to_value(update, shared_changes(from, update))
+                      : to_value(update);
     co_return answer;
 }
 
+// Most watchers hold the same state and so get the same changes.
+const Json::Value& keeper_service::shared_changes(control_index from,
+                                                  const watch_update& update)
+{
+    auto key = std::make_pair(update.snapshot ? control_index() : from, update.applied);
+    auto found = shared_changes_.find(key);
+    if (found == shared_changes_.end()) {
+        if (shared_changes_.size() >= max_shared_changes) {
+            shared_changes_.clear();
+        }
+        found = shared_changes_.emplace(key, pack_changes(changes_of(update))).first;
+    }
+    return found->second;
+}
+
 net::awaitable<void> keeper_service::keep_confirmed()
 {
     net::steady_timer timer(co_await net::this_coro::executor);
@@ -213,6 +232,9 @@
     if (promotion_controller_ != nullptr) {
         promotion_controller_->record_commits(commit_report_from(request.body));
     }
+    if (!flag_of(request.body, "forwarded")) {
+        co_await replicated_.notify_leader("keeper.commits", std::move(request));
+    }
     rpc_message answer;
     co_return answer;
 }
--- a/src/papayakeeper/keeper_service.hpp
+++ b/src/papayakeeper/keeper_service.hpp
@@ -41,11 +41,14 @@
     /// all of them.
     net::awaitable<void> keep_confirmed();
     std::optional<std::chrono::milliseconds> confirmed_age() const;
+    const Json::Value& shared_changes(control_index from, const watch_update& update);
 
     const keeper_settings& settings_;
     replicator& replicated_;
     event_log& events_;
     promotion_controller* promotion_controller_ = nullptr;
+    /// Encoded changes by the watcher's index, 0 for a snapshot, and the keeper's.
+    std::map<std::pair<control_index, control_index>, Json::Value> shared_changes_;
     bool is_confirming_ = false;
     /// These two count the time for which the machine was suspended.
     position_samples::time confirm_until_{0};
--- a/src/papayakeeper/replicator.hpp
+++ b/src/papayakeeper/replicator.hpp
@@ -67,6 +67,16 @@
     leader_duties& duties() noexcept { return duties_; }
 
 private:
+    /// A read barrier that several calls wait for.
+    struct shared_barrier
+    {
+        std::optional<result<void>> outcome;
+        std::set<net::steady_timer*> waiting;
+    };
+
+    net::awaitable<void> run_barriers();
+    net::awaitable<result<void>> run_barrier(time_point deadline);
+
     void finish_open(result<recovered_log> opened);
     net::awaitable<void> reopen();
     net::awaitable<void> await_genesis();
@@ -141,6 +151,9 @@
     time_point departure_check_due_;
     time_point started_;
     bool stopping_ = false;
+    /// The barrier that the next calls join; null if none waits.
+    std::shared_ptr<shared_barrier> next_barrier_;
+    bool is_barrier_running_ = false;
 };
 
 } // namespace papayabridge
--- a/src/papayakeeper/replicator_propose.cpp
+++ b/src/papayakeeper/replicator_propose.cpp
@@ -2,6 +2,10 @@
 
 #include "replicator.hpp"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <papayabridge/daemon.hpp>
 #include <papayabridge/json.hpp>
 
@@ -11,6 +15,8 @@
 
 constexpr std::chrono::milliseconds leader_poll_interval{20};
 constexpr std::chrono::milliseconds notify_timeout{300};
+// As long as the callers of a barrier wait at most.
+constexpr std::chrono::milliseconds barrier_timeout{850};
 
 } // namespace
 
@@ -57,13 +63,50 @@
     co_return failure;
 }
 
-// The barrier's log entry follows all entries accepted before the call.
+// Waits for a barrier that begins after this call. Calls that come while one is on its
+// way share the next one, so that a herd of watchers costs two barriers.
 net::awaitable<result<void>> replicator::wait_for_read_barrier(time_point deadline)
 {
     if (storage_failure_) {
         // What is committed now cannot be applied here.
         co_return *storage_failure_;
     }
+    if (!next_barrier_) {
+        next_barrier_ = std::make_shared<shared_barrier>();
+    }
+    auto joined = next_barrier_;
+    if (!is_barrier_running_) {
+        is_barrier_running_ = true;
+        net::co_spawn(control_, run_barriers(), net::detached);
+    }
+    while (!joined->outcome && steady_clock::now() < deadline) {
+        net::steady_timer timer(control_, deadline);
+        joined->waiting.insert(&timer);
+        co_await timer.async_wait(net::as_tuple(net::use_awaitable));
+        joined->waiting.erase(&timer);
+    }
+    if (!joined->outcome) {
+        co_return fail(error_kind::no_quorum, "not confirmed before the deadline");
+    }
+    co_return *joined->outcome;
+}
+
+net::awaitable<void> replicator::run_barriers()
+{
+    while (next_barrier_) {
+        auto barrier = std::exchange(next_barrier_, nullptr);
+        auto outcome = co_await run_barrier(steady_clock::now() + barrier_timeout);
+        barrier->outcome = std::move(outcome);
+        for (auto* timer : barrier->waiting) {
+            timer->cancel();
+        }
+    }
+    is_barrier_running_ = false;
+}
+
+// The barrier's log entry follows all entries accepted before the call.
+net::awaitable<result<void>> replicator::run_barrier(time_point deadline)
+{
     command barrier = read_barrier{};
     auto accepted = co_await propose(std::move(barrier), deadline, false);
     if (!accepted) {
