A released connection goes to the statement that waits for it again

The connection is idle first and then granted, as before accounts. Room on a member that refused a connection is not passed on.

Test: accounts.less_urgent_statement_gets_the_connection_that_is_released, which failed before (a connection was opened instead).

--- a/src/libpapayabridge/session/members/member_pool.cpp
+++ b/src/libpapayabridge/session/members/member_pool.cpp
@@ -345,14 +345,16 @@
         on_closed(id);
         return;
     }
-    auto next = best_waiter(member, connection->address().account);
+    auto account = connection->address().account;
+    connection->idle_since = steady_clock::now();
+    state->idle.push_back(std::move(connection));
+    auto next = best_waiter(state->address.id, account);
     if (next != waiters_.end()) {
-        (*next)->granted = std::move(connection);
+        (*next)->granted = std::move(state->idle.back());
+        state->idle.pop_back();
         (*next)->wakeup.cancel();
         return;
     }
-    connection->idle_since = steady_clock::now();
-    state->idle.push_back(std::move(connection));
     pass_on_room(state->address.id, *state);
 }
 
@@ -361,16 +363,15 @@
 void member_pool::pass_on_room(const member_id& member, member_state& state)
 {
     auto next = best_waiter(member, std::nullopt);
-    if (next == waiters_.end() || (state.idle.empty() && !has_room(state))) {
+    bool can_open = steady_clock::now() >= state.full_until &&
+                    (has_room(state) || !state.idle.empty());
+    if (next == waiters_.end() || !can_open) {
         return;
     }
     if (!has_room(state)) {
         state.idle.erase(state.idle.begin());
         --state.open_count;
     }
-    if (steady_clock::now() < state.full_until) {
-        return;
-    }
     ++state.open_count;
     (*next)->may_open = member;
     (*next)->wakeup.cancel();
