Entries that start together ask different keepers

The seeds, and keepers at the same distance, are now in an order that differs between entries (core/control/keeper_choice).

--- a/src/libpapayabridge/session/session_entry.cpp
+++ b/src/libpapayabridge/session/session_entry.cpp
@@ -1,5 +1,6 @@
 #include "session_entry.hpp"
 
+#include "core/control/keeper_choice.hpp"
 #include "net/metrics_page.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -61,8 +62,7 @@
       executor_(runtime.control_context().get_executor()),
       clients_(std::make_shared<rpc_clients>(executor_, std::make_shared<link_table>(),
                                              token_codec(settings_.fleet_key))),
-      keepers_(executor_, clients_, settings_.seeds),
-      pool_(executor_, protocols_.member_protocol),
+      keepers_(executor_, clients_, {}), pool_(executor_, protocols_.member_protocol),
       local_(executor_, pool_, protocols_.member_protocol, report_),
       verifier_(executor_, pool_, protocols_.member_protocol),
       gate_(executor_, local_, pool_),
@@ -98,6 +98,7 @@
 result<void> session_entry::start()
 {
     started_ = steady_clock::now();
+    update_keeper_endpoints();
     boost::system::error_code failed;
     acceptor_.open(settings_.callers.protocol(), failed);
     if (!failed) {
@@ -339,27 +340,30 @@
 
 void session_entry::update_keeper_endpoints()
 {
-    std::vector<std::pair<unsigned, tcp::endpoint>> endpoints;
+    std::vector<keeper_candidate> candidates;
     for (const auto& [id, place] : state_.pool().keepers()) {
-        auto endpoint = parse_endpoint(place.rpc);
-        if (endpoint) {
-            endpoints.emplace_back(settings_.location.distance_to(place.domain),
-                                   *endpoint);
-        }
+        candidates.push_back({.address = place.rpc,
+                              .distance = settings_.location.distance_to(place.domain)});
     }
-    std::sort(endpoints.begin(), endpoints.end());
     std::vector<tcp::endpoint> keepers;
-    keepers.reserve(endpoints.size() + settings_.seeds.size());
-    for (const auto& [distance, endpoint] : endpoints) {
-        keepers.push_back(endpoint);
-    }
+    auto add = [&keepers](const std::vector<keeper_candidate>& ordered) {
+        for (const auto& candidate : ordered) {
+            auto endpoint = parse_endpoint(candidate.address);
+            bool is_new =
+                endpoint && std::count(keepers.begin(), keepers.end(), *endpoint) == 0;
+            if (is_new) {
+                keepers.push_back(*endpoint);
+            }
+        }
+    };
+    add(order_keepers(settings_.id, std::move(candidates)));
     // The seeds stay in the list because all known keepers may have been replaced while
     // this entry was disconnected.
+    std::vector<keeper_candidate> seeds;
     for (const auto& seed : settings_.seeds) {
-        if (std::find(keepers.begin(), keepers.end(), seed) == keepers.end()) {
-            keepers.push_back(seed);
-        }
+        seeds.push_back({.address = to_string(seed)});
     }
+    add(order_keepers(settings_.id, std::move(seeds)));
     keepers_.set_keepers(std::move(keepers));
 }
 
