--- a/src/include/papayabridge/log.hpp
+++ b/src/include/papayabridge/log.hpp
@@ -70,6 +70,7 @@
     gate_message_refused,
     entry_changed,
     accept_failed,
+    account_refused,
     answer_not_taken,
     leader_elected,
     leader_stepped_down,
--- /dev/null
+++ b/src/libpapayabridge/core/accounts/rate_limit.cpp
@@ -0,0 +1,322 @@
+#include "rate_limit.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <tuple>
+#include <utility>
+#include <xxhash.h>
+
+namespace papayabridge {
+
+namespace {
+
+using std::chrono::milliseconds;
+using seconds_of = std::chrono::duration<double>;
+
+// Operations above the burst that a bucket can hold. An account with few operations a
+// second would otherwise be refused whenever two of them come together; the rule allows
+// 20 above the limit.
+constexpr double bucket_allowance = 12;
+// Views of entries differ for up to this time, so that an account can have two homes.
+constexpr milliseconds home_overlap{1000};
+// Part of the rate at which a new home refills during that time; see the file's comment.
+constexpr double new_home_part = 0.25;
+// Time in which askers share the bucket's refill. Ten requests a second of an entry.
+constexpr milliseconds share_time{100};
+// How long an asker counts among those that share the refill.
+constexpr milliseconds asker_memory{1000};
+// How long booked tokens are kept for an asker after the told time: a round trip between
+// regions takes 16 ms, and an entry asks only when the next operation arrives.
+constexpr milliseconds booking_grace{50};
+// How long a token is valid after the request for it was sent. A window then contains
+// tokens of at most this much more time. Longer than a round trip between regions takes
+// in a busy process.
+constexpr milliseconds token_life{150};
+// Demand for which a busy account asks ahead.
+constexpr milliseconds ahead_time{50};
+// Tokens that are not asked for ahead: at a lower demand a token would often expire.
+constexpr double ahead_offset = 2;
+// Over which the demand is averaged.
+constexpr milliseconds demand_time{250};
+// How long entries spend without an answer of the home.
+constexpr milliseconds max_silence{1500};
+// Part of the tokens granted in the last second that may be spent without an answer in
+// one window; see the file's comment.
+constexpr double unanswered_part = 0.1;
+constexpr milliseconds window{5000};
+// When an operation may be tried again while the home is silent: a lost home is replaced
+// by the keepers in about this time.
+constexpr milliseconds silent_retry{500};
+// How long an entry refuses without asking again. A small account whose callers are at
+// many entries is told longer times under a flood; the flood may end before.
+constexpr milliseconds max_refusal{1000};
+// Time between two requests to a silent home: a few a second cost little.
+constexpr milliseconds probe_pause{200};
+
+double in_seconds(boot_time time)
+{
+    return seconds_of(time).count();
+}
+
+boot_time to_boot_time(double seconds)
+{
+    return std::chrono::duration_cast<boot_time>(seconds_of(seconds));
+}
+
+} // namespace
+
+std::vector<entry_id> order_homes(const account_name& account,
+                                  const std::vector<entry_id>& entries, std::size_t count)
+{
+    using scored = std::pair<std::uint64_t, const entry_id*>;
+    std::vector<scored> scores;
+    scores.reserve(entries.size());
+    auto seed = XXH64(account.str().data(), account.str().size(), 0);
+    for (const auto& entry : entries) {
+        scores.emplace_back(XXH64(entry.str().data(), entry.str().size(), seed), &entry);
+    }
+    auto end =
+        scores.begin() + static_cast<std::ptrdiff_t>(std::min(count, scores.size()));
+    std::partial_sort(
+        scores.begin(), end, scores.end(), [](const scored& a, const scored& b) {
+            return std::tie(a.first, *a.second) < std::tie(b.first, *b.second);
+        });
+    std::vector<entry_id> ordered;
+    ordered.reserve(count);
+    std::transform(scores.begin(), end, std::back_inserter(ordered),
+                   [](const scored& row) { return *row.second; });
+    return ordered;
+}
+
+// --- Home side ---
+
+token_bucket::token_bucket(boot_time now)
+    : slow_until_(now + home_overlap), refilled_at_(now)
+{
+}
+
+// What others grant meanwhile is not counted: the limit is kept from one window after all
+// entries have it.
+token_bucket token_bucket::full(const client_account& limit, boot_time now)
+{
+    token_bucket bucket(now);
+    bucket.slow_until_ = now;
+    bucket.level_ = limit.burst + bucket_allowance;
+    return bucket;
+}
+
+void token_bucket::refill(const client_account& limit, boot_time now)
+{
+    // A new limit does not count for the time before it was known, if it is higher.
+    auto rate = rate_ > 0 ? std::min(rate_, limit.operations_per_second)
+                          : limit.operations_per_second;
+    rate_ = limit.operations_per_second;
+    auto from = std::exchange(refilled_at_, std::max(refilled_at_, now));
+    auto slow_until = std::clamp(slow_until_, from, refilled_at_);
+    level_ += rate * (in_seconds(slow_until - from) * new_home_part +
+                      in_seconds(refilled_at_ - slow_until));
+    level_ = std::min(level_, limit.burst + bucket_allowance);
+    std::erase_if(bookings_,
+                  [&](const auto& row) { return row.second.due + booking_grace < now; });
+    std::erase_if(askers_,
+                  [&](const auto& row) { return row.second + asker_memory < now; });
+}
+
+double token_bucket::refill_until(boot_time end, boot_time now) const
+{
+    auto slow_time = in_seconds(std::clamp(slow_until_, now, std::max(now, end)) - now);
+    auto time = in_seconds(std::max(now, end) - now);
+    return rate_ * (slow_time * new_home_part + time - slow_time);
+}
+
+milliseconds token_bucket::time_to_refill(double tokens, boot_time now) const
+{
+    auto slow_time = in_seconds(std::max(boot_time(0), slow_until_ - now));
+    auto slow_tokens = slow_time * rate_ * new_home_part;
+    auto time = tokens <= slow_tokens ? tokens / (rate_ * new_home_part)
+                                      : slow_time + (tokens - slow_tokens) / rate_;
+    return std::max(std::chrono::ceil<milliseconds>(to_boot_time(time)), milliseconds(1));
+}
+
+// The tokens that can be taken now so that each booking of another asker is there when it
+// is due. A booking that was not claimed leaves its tokens to the next who asks.
+double token_bucket::available_to(asker from, boot_time now) const
+{
+    std::vector<booking> others;
+    for (const auto& [by, wish] : bookings_) {
+        if (by != from) {
+            others.push_back(wish);
+        }
+    }
+    std::sort(others.begin(), others.end(),
+              [](const auto& a, const auto& b) { return a.due < b.due; });
+    auto available = level_;
+    double booked = 0;
+    for (const auto& wish : others) {
+        booked += wish.tokens;
+        available = std::min(available, level_ + refill_until(wish.due, now) - booked);
+    }
+    return available;
+}
+
+token_grant token_bucket::grant(const client_account& limit, asker from, unsigned wanted,
+                                unsigned overspent, boot_time now)
+{
+    refill(limit, now);
+    level_ -= overspent;
+    if (wanted == 0) {
+        return {};
+    }
+    askers_[from] = now;
+    constexpr double rounding = 1e-6;
+    auto available = std::floor(available_to(from, now) + rounding);
+    if (available >= 1) {
+        auto granted = std::min<double>(wanted, available);
+        level_ -= granted;
+        bookings_.erase(from);
+        return {.granted = static_cast<unsigned>(granted)};
+    }
+    auto share = limit.operations_per_second * in_seconds(share_time) /
+                 static_cast<double>(askers_.size());
+    booking wish{.tokens = std::max(1.0, std::floor(std::min<double>(wanted, share)))};
+    auto booked = wish.tokens;
+    for (const auto& [by, other] : bookings_) {
+        booked += by == from ? 0 : other.tokens;
+    }
+    wish.due = now + time_to_refill(booked - level_, now);
+    auto& own = bookings_.try_emplace(from, wish).first->second;
+    // An earlier promise is kept if it is better.
+    if (wish.due < own.due || own.due <= now) {
+        own = wish;
+    }
+    return {.granted = 0, .retry_after = std::chrono::ceil<milliseconds>(own.due - now)};
+}
+
+// --- Entry side ---
+
+void entry_tokens::record_arrival(boot_time now)
+{
+    auto passed = in_seconds(now - demand_at_) / in_seconds(demand_time);
+    demand_ = demand_ * std::exp(-passed) + 1 / in_seconds(demand_time);
+    demand_at_ = now;
+}
+
+operation_step entry_tokens::decide(boot_time now)
+{
+    if (take(now)) {
+        return operation_step::admit;
+    }
+    if (is_refused(now)) {
+        return operation_step::refuse;
+    }
+    if (silent_since_) {
+        return take_unanswered(now) ? operation_step::admit : operation_step::refuse;
+    }
+    return operation_step::wait;
+}
+
+unsigned entry_tokens::held(boot_time now) const
+{
+    unsigned tokens = 0;
+    for (const auto& known : batches_) {
+        tokens += known.expires > now ? known.tokens : 0;
+    }
+    return tokens;
+}
+
+bool entry_tokens::take(boot_time now)
+{
+    std::erase_if(batches_, [now](const auto& known) {
+        return known.expires <= now || known.tokens == 0;
+    });
+    if (batches_.empty()) {
+        return false;
+    }
+    --batches_.front().tokens;
+    return true;
+}
+
+unsigned entry_tokens::wanted(unsigned waiting, boot_time now) const
+{
+    if (is_refused(now) || (silent_since_ && now < probe_at_)) {
+        return 0;
+    }
+    auto decayed =
+        demand_ * std::exp(-in_seconds(now - demand_at_) / in_seconds(demand_time));
+    auto ahead = static_cast<unsigned>(
+        std::max(0.0, decayed * in_seconds(ahead_time) - ahead_offset));
+    auto has = held(now);
+    bool has_enough = waiting == 0 && has * 2 >= ahead;
+    return has_enough || has >= waiting + ahead ? 0 : waiting + ahead - has;
+}
+
+void entry_tokens::record_answer(const token_grant& answer, boot_time sent_at,
+                                 boot_time now)
+{
+    silent_since_.reset();
+    refused_until_.reset();
+    ask_again_at_ = now;
+    if (answer.granted > 0) {
+        batches_.push_back({.tokens = answer.granted, .expires = sent_at + token_life});
+        grants_.push_back({.at = now, .count = answer.granted});
+    } else if (answer.retry_after.count() > 0) {
+        refused_until_ = now + answer.retry_after;
+        ask_again_at_ = now + std::min(answer.retry_after, max_refusal);
+    }
+    std::erase_if(grants_, [now](const auto& known) {
+        return known.at + std::chrono::seconds(1) < now;
+    });
+}
+
+double entry_tokens::granted_in_last_second(boot_time now) const
+{
+    return std::accumulate(
+        grants_.begin(), grants_.end(), 0.0, [now](double sum, const auto& known) {
+            return known.at + std::chrono::seconds(1) < now ? sum : sum + known.count;
+        });
+}
+
+void entry_tokens::record_silence(boot_time now)
+{
+    if (!silent_since_) {
+        silent_since_ = now;
+        unanswered_rate_ = granted_in_last_second(now);
+    }
+    probe_at_ = now + probe_pause;
+}
+
+void entry_tokens::forget_home()
+{
+    refused_until_.reset();
+    silent_since_.reset();
+}
+
+bool entry_tokens::take_unanswered(boot_time now)
+{
+    std::erase_if(unanswered_,
+                  [now](const auto& known) { return known.at + window < now; });
+    if (now - *silent_since_ > max_silence) {
+        return false;
+    }
+    bool has_room =
+        static_cast<double>(unanswered_.size() + 1) <= unanswered_rate_ * unanswered_part;
+    if (has_room) {
+        unanswered_.push_back({.at = now, .count = 1});
+        ++unreported_;
+    }
+    return has_room;
+}
+
+void entry_tokens::record_reported(unsigned count)
+{
+    unreported_ -= std::min(unreported_, count);
+}
+
+milliseconds entry_tokens::retry_after(boot_time now) const
+{
+    return is_refused(now) ? std::chrono::ceil<milliseconds>(*refused_until_ - now)
+                           : silent_retry;
+}
+
+} // namespace papayabridge
--- /dev/null
+++ b/src/libpapayabridge/core/accounts/rate_limit.hpp
@@ -0,0 +1,171 @@
+/// \file rate_limit.hpp
+/// Limits the operations of a client account over all entries. No I/O.
+///
+/// Load pattern: an account's callers are spread unevenly over many entries, and one
+/// account suddenly calls several times as often as usual. Each account has a home, the
+/// entry that keeps its token bucket; entries ask it for tokens.
+///
+/// The rule to keep: in any window of 5 s at most (5 s x rate + burst) x 1.1 + 20
+/// operations, which leaves 0.5 s x rate + 0.1 x burst + 20 above the bucket. It is used
+/// for: tokens spent later than granted (0.15 s x rate), a new home beside the old one
+/// (0.25 s x rate), spending while a home is silent (0.1 x (rate + burst)), and the
+/// allowance of the bucket (12 operations).
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <papayabridge/ids.hpp>
+#include <papayabridge/pooled_configuration.hpp>
+#include <vector>
+
+namespace papayabridge {
+
+/// Time since the machine booted, including time suspended.
+using boot_time = std::chrono::nanoseconds;
+
+/// The first \p count entries in the order in which they are home of \p account, by
+/// rendezvous hashing: the loss or return of an entry moves only its own accounts.
+std::vector<entry_id> order_homes(const account_name& account,
+                                  const std::vector<entry_id>& entries,
+                                  std::size_t count);
+
+/// What an entry asks of the home of an account.
+struct token_request
+{
+    account_name account;
+    unsigned wanted = 0;
+    /// Operations that ran without tokens since the last request.
+    unsigned overspent = 0;
+
+    friend bool operator==(const token_request&, const token_request&) = default;
+};
+
+/// What a home answers to a request for tokens.
+struct token_grant
+{
+    unsigned granted = 0;
+    /// If nothing was granted: the time after which the asker's tokens are there. 0 if
+    /// the entry is not the home.
+    std::chrono::milliseconds retry_after{0};
+
+    friend bool operator==(const token_grant&, const token_grant&) = default;
+};
+
+/// The home's token bucket of one account.
+class token_bucket
+{
+public:
+    /// Number by which a home tells the entries apart that ask.
+    using asker = std::uint64_t;
+
+    /// The bucket of a home that was made just now: empty, and refilled slowly at first,
+    /// since another entry may still act as the home.
+    explicit token_bucket(boot_time now);
+    /// The full bucket of an account that had no limit until now.
+    static token_bucket full(const client_account& limit, boot_time now);
+
+    /// Grants up to \p wanted tokens. \p overspent: operations that the asker ran without
+    /// tokens.
+    token_grant grant(const client_account& limit, asker from, unsigned wanted,
+                      unsigned overspent, boot_time now);
+
+private:
+    struct booking
+    {
+        double tokens = 0;
+        boot_time due;
+    };
+
+    void refill(const client_account& limit, boot_time now);
+    double refill_until(boot_time end, boot_time now) const;
+    double available_to(asker from, boot_time now) const;
+    std::chrono::milliseconds time_to_refill(double tokens, boot_time now) const;
+
+    double level_ = 0;
+    boot_time slow_until_;
+    boot_time refilled_at_;
+    double rate_ = 0;
+    /// Tokens that refused askers were told to come back for.
+    std::map<asker, booking> bookings_;
+    /// Askers of the last second, between which a refill is divided.
+    std::map<asker, boot_time> askers_;
+};
+
+/// What an entry does with an operation.
+enum class operation_step : std::uint8_t
+{
+    admit,
+    /// Refuse it, to be tried again after entry_tokens::retry_after().
+    refuse,
+    /// Ask the home, or wait for its answer.
+    wait,
+};
+
+/// The tokens of one account at one entry, and what it may do while the home is silent.
+class entry_tokens
+{
+public:
+    /// Counts an operation that arrives, for the estimate of the demand.
+    void record_arrival(boot_time now);
+    /// Decides about one operation; takes a token if it is admitted.
+    operation_step decide(boot_time now);
+    /// For an operation that is refused now: the time after which it can succeed.
+    std::chrono::milliseconds retry_after(boot_time now) const;
+    /// The number of tokens to ask for while \p waiting operations wait; 0 if there are
+    /// enough or the home told to come back later.
+    unsigned wanted(unsigned waiting, boot_time now) const;
+
+    /// The answer of the home to the request sent at \p sent_at.
+    void record_answer(const token_grant& answer, boot_time sent_at, boot_time now);
+    /// A request was not answered in time. Repeated until record_answer().
+    void record_silence(boot_time now);
+    bool is_home_silent() const { return silent_since_.has_value(); }
+    /// Forgets what the home told, as the account has another home now.
+    void forget_home();
+
+    /// Operations admitted without a token, while the home was silent, that it was not
+    /// told of.
+    unsigned unreported() const { return unreported_; }
+    /// The home was told of \p count of them.
+    void record_reported(unsigned count);
+
+private:
+    struct batch
+    {
+        unsigned tokens = 0;
+        boot_time expires;
+    };
+    struct sum_of
+    {
+        boot_time at;
+        unsigned count = 0;
+    };
+
+    bool take(boot_time now);
+    bool take_unanswered(boot_time now);
+    bool is_refused(boot_time now) const { return refused_until_ && now < ask_again_at_; }
+    unsigned held(boot_time now) const;
+    double granted_in_last_second(boot_time now) const;
+
+    std::deque<batch> batches_;
+    /// Grants of the last second.
+    std::deque<sum_of> grants_;
+    /// Operations of the last window that ran without tokens.
+    std::deque<sum_of> unanswered_;
+    double demand_ = 0;
+    boot_time demand_at_{0};
+    /// The time told by the home. It is asked again at `ask_again_at_`, or later.
+    std::optional<boot_time> refused_until_;
+    boot_time ask_again_at_{0};
+    std::optional<boot_time> silent_since_;
+    /// While the home is silent: when it is asked again.
+    boot_time probe_at_{0};
+    double unanswered_rate_ = 0;
+    unsigned unreported_ = 0;
+};
+
+} // namespace papayabridge
--- a/src/libpapayabridge/core/observability/log_events.cpp
+++ b/src/libpapayabridge/core/observability/log_events.cpp
@@ -71,6 +71,8 @@
     log_event_row{log_event::entry_changed, "entry_changed", change,
                   "entry condition accepted"},
     log_event_row{log_event::accept_failed, "accept_failed", change, "detail"},
+    log_event_row{log_event::account_refused, "account_refused", change,
+                  "account version limit home detail"},
     log_event_row{log_event::answer_not_taken, "answer_not_taken", change, "detail"},
     log_event_row{log_event::leader_elected, "leader_elected", change, "term"},
     log_event_row{log_event::leader_stepped_down, "leader_stepped_down", change, "term"},
--- a/src/libpapayabridge/core/observability/metric_table.cpp
+++ b/src/libpapayabridge/core/observability/metric_table.cpp
@@ -7,7 +7,9 @@
 
 namespace {
 
-constexpr std::array<metric_row, 23> rows{{
+constexpr std::array<metric_row, 28> rows{{
+    {"papaya_account_operations_total", "counter", "operations", "account outcome",
+     "Operations of accounts with a limit, admitted or refused by it"},
     {"papaya_configuration_version", "gauge", "version", "",
      "Configuration in force at an entry, or held by a keeper"},
     {"papaya_control_index", "gauge", "commands", "",
@@ -34,6 +36,8 @@
      "From sending a statement to a member to its whole answer"},
     {"papaya_member_connections", "gauge", "connections", "",
      "Connections to members that are open"},
+    {"papaya_operations_without_token_total", "counter", "operations", "",
+     "Operations admitted while the home of their account did not answer"},
     {"papaya_promotion_seconds", "histogram", "seconds", "service",
      "From the begin of a change of primary to the new primary"},
     {"papaya_request_seconds", "histogram", "seconds", "rank",
@@ -49,6 +53,12 @@
      "Statements of sessions that members had to run, by outcome"},
     {"papaya_statements_waiting", "gauge", "statements", "",
      "Statements that wait for a connection to a member"},
+    {"papaya_token_requests_total", "counter", "messages", "",
+     "Messages to the homes of accounts for tokens"},
+    {"papaya_token_requests_unanswered_total", "counter", "messages", "",
+     "Messages for tokens that were not answered in time"},
+    {"papaya_tokens_granted_total", "counter", "operations", "",
+     "Tokens granted as the home of accounts"},
 }};
 
 } // namespace
--- a/src/libpapayabridge/session/gate/gate_link.cpp
+++ b/src/libpapayabridge/session/gate/gate_link.cpp
@@ -406,6 +406,23 @@
     return state_->endpoint;
 }
 
+net::awaitable<result<std::vector<token_grant>>>
+gate_link::request_tokens(std::vector<token_request> requests, time_point deadline)
+{
+    auto link = state_;
+    auto connection = co_await acquire_connection(link, deadline);
+    if (!connection) {
+        co_return fail(error_kind::unreachable, "cannot reach " + link->gate.str());
+    }
+    gate_message message{.call = gate_call::grant_operations};
+    message.token_requests = std::move(requests);
+    auto response = co_await connection->call(message, deadline, false);
+    if (!response) {
+        co_return response.error();
+    }
+    co_return std::move(response.value().token_grants);
+}
+
 net::awaitable<gate_link::reply> gate_link::run(const member_request& request)
 {
     auto link = state_;
--- a/src/libpapayabridge/session/gate/gate_link.hpp
+++ b/src/libpapayabridge/session/gate/gate_link.hpp
@@ -38,6 +38,10 @@
     };
     /// Runs \p request at its first member.
     net::awaitable<reply> run(const member_request& request);
+    /// Asks the other entry for tokens. Returns one grant a request, or an error at
+    /// \p deadline at the latest.
+    net::awaitable<result<std::vector<token_grant>>>
+    request_tokens(std::vector<token_request> requests, time_point deadline);
 
     const tcp::endpoint& endpoint() const noexcept;
 
--- a/src/libpapayabridge/session/gate/gate_server.cpp
+++ b/src/libpapayabridge/session/gate/gate_server.cpp
@@ -44,14 +44,17 @@
 // A connection from another entry.
 struct gate_peer
 {
-    explicit gate_peer(tcp::socket accepted)
-        : socket(std::move(accepted)), writer(socket), timer(socket.get_executor())
+    gate_peer(tcp::socket accepted, token_bucket::asker peer_number)
+        : socket(std::move(accepted)), writer(socket), timer(socket.get_executor()),
+          number(peer_number)
     {
     }
 
     tcp::socket socket;
     frame_writer writer;
     net::steady_timer timer;
+    /// Unique in this process.
+    token_bucket::asker number;
     std::map<std::uint64_t, std::shared_ptr<served_transaction>> transactions;
     bool is_closed = false;
 
@@ -94,6 +97,7 @@
     position_samples::time last_check = boottime_now();
     position_samples::time backlog_until{0};
     std::size_t statements = 0;
+    token_bucket::asker last_peer_number = 0;
     bool is_stopping = false;
     bool is_closed = false;
 
@@ -258,6 +262,23 @@
     }
 }
 
+// Answered at once: the bucket is in memory.
+void grant_tokens(const std::shared_ptr<gate_server::state>& server,
+                  const std::shared_ptr<gate_peer>& peer, std::uint64_t id,
+                  const gate_message& message)
+{
+    gate_response response{.answer = statement_answer()};
+    auto* home = server->options.tokens;
+    response.token_grants = home != nullptr
+                                ? home->grant(peer->number, message.token_requests)
+                                : std::vector<token_grant>(message.token_requests.size());
+    frame answer;
+    answer.kind = frame_kind::response;
+    answer.id = id;
+    answer.payload = encode(response);
+    peer->writer.send(std::move(answer), peer);
+}
+
 void handle_request(const std::shared_ptr<gate_server::state>& server,
                     const std::shared_ptr<gate_peer>& peer, std::uint64_t id,
                     gate_message message)
@@ -269,6 +290,8 @@
         peer->writer.send(std::move(pong), peer);
     } else if (message.call == gate_call::end_transaction) {
         end_transaction(*peer, message.transaction);
+    } else if (message.call == gate_call::grant_operations) {
+        grant_tokens(server, peer, id, message);
     } else {
         net::co_spawn(server->executor,
                       answer_request(server, peer, id, std::move(message),
@@ -325,7 +348,8 @@
             co_await timer.async_wait(use_tuple);
             continue;
         }
-        auto peer = std::make_shared<gate_peer>(std::move(socket));
+        auto peer =
+            std::make_shared<gate_peer>(std::move(socket), ++server->last_peer_number);
         server->peers.remove_if([](const auto& old) { return old.expired(); });
         server->peers.push_back(peer);
         net::co_spawn(server->executor, serve_peer(server, peer), net::detached);
--- a/src/libpapayabridge/session/gate/gate_server.hpp
+++ b/src/libpapayabridge/session/gate/gate_server.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "gate_wire.hpp"
+#include "session/limits/token_home.hpp"
 #include "statement_gate.hpp"
 
 #include <papayabridge/token.hpp>
@@ -16,6 +17,9 @@
     tcp::endpoint listen;
     /// The secret that all processes of the fleet share.
     token_codec fleet_key;
+    /// Answers requests for tokens; null if this entry is the home of no account. Must
+    /// outlive the server.
+    token_home* tokens = nullptr;
 };
 
 /// Accepts connections of entries and runs their statements through \p gate, which must
--- a/src/libpapayabridge/session/gate/gate_wire.cpp
+++ b/src/libpapayabridge/session/gate/gate_wire.cpp
@@ -11,6 +11,8 @@
 // A longer wait than any configured timeout; bounds the arithmetic on times.
 constexpr std::uint64_t max_time_ms = 24ULL * 3600 * 1000;
 constexpr std::uint64_t max_rank = 1000;
+// Operations of one account that one message is about; more than any entry runs at once.
+constexpr std::uint64_t max_operations = 1'000'000;
 
 std::string pack(const json& value)
 {
@@ -220,12 +222,51 @@
     return answer;
 }
 
+// The count of operations without tokens is left out if it is 0.
+json encode_token_request(const token_request& request)
+{
+    auto fields = json::array({request.account.str(), request.wanted});
+    if (request.overspent > 0) {
+        fields.push_back(request.overspent);
+    }
+    return fields;
+}
+
+token_request decode_token_request(const json& value)
+{
+    field_reader fields(value);
+    token_request request{.account = account_name(fields.text())};
+    request.wanted = static_cast<unsigned>(fields.number(max_operations));
+    if (fields.has_more()) {
+        request.overspent = static_cast<unsigned>(fields.number(max_operations));
+    }
+    fields.finish();
+    return request;
+}
+
+token_grant decode_token_grant(const json& value)
+{
+    field_reader fields(value);
+    token_grant grant;
+    grant.granted = static_cast<unsigned>(fields.number(max_operations));
+    grant.retry_after = fields.time<std::chrono::milliseconds>();
+    fields.finish();
+    return grant;
+}
+
 gate_message read_message(const json& value)
 {
     field_reader fields(value);
     gate_message message;
-    message.call = fields.choice(gate_call::ping);
+    message.call = fields.choice(gate_call::grant_operations);
     message.transaction = fields.number();
+    if (message.call == gate_call::grant_operations) {
+        for (const auto& request : fields.next()) {
+            message.token_requests.push_back(decode_token_request(request));
+        }
+        fields.finish();
+        return message;
+    }
     if (message.call == gate_call::ping || message.call == gate_call::end_transaction) {
         fields.finish();
         return message;
@@ -263,6 +304,11 @@
     response.is_unservable = fields.flag();
     response.is_open = fields.flag();
     response.answer = decode_answer(fields.next());
+    if (fields.has_more()) {
+        for (const auto& grant : fields.next()) {
+            response.token_grants.push_back(decode_token_grant(grant));
+        }
+    }
     fields.finish();
     return response;
 }
@@ -299,6 +345,12 @@
             fields.back()[name] = text;
         }
     }
+    if (message.call == gate_call::grant_operations) {
+        fields.push_back(json::array());
+        for (const auto& request : message.token_requests) {
+            fields.back().push_back(encode_token_request(request));
+        }
+    }
     if (message.call == gate_call::run) {
         fields.push_back(message.service.str());
         fields.push_back(message.member.str());
@@ -317,10 +369,18 @@
 
 std::string encode(const gate_response& response)
 {
-    return pack(json::array({static_cast<unsigned>(response.stage),
-                             static_cast<std::uint64_t>(response.waited.count()),
-                             response.is_unservable, response.is_open,
-                             encode_answer(response.answer)}));
+    auto fields = json::array({static_cast<unsigned>(response.stage),
+                               static_cast<std::uint64_t>(response.waited.count()),
+                               response.is_unservable, response.is_open,
+                               encode_answer(response.answer)});
+    if (!response.token_grants.empty()) {
+        fields.push_back(json::array());
+        for (const auto& grant : response.token_grants) {
+            fields.back().push_back(json::array(
+                {grant.granted, static_cast<std::uint64_t>(grant.retry_after.count())}));
+        }
+    }
+    return pack(fields);
 }
 
 result<gate_message> decode_gate_message(std::string_view bytes)
--- a/src/libpapayabridge/session/gate/gate_wire.hpp
+++ b/src/libpapayabridge/session/gate/gate_wire.hpp
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include "core/accounts/rate_limit.hpp"
 #include "session/members/member_access.hpp"
 
 namespace papayabridge {
@@ -25,6 +26,8 @@
     end_transaction,
     /// Is answered at once, so that a gate that does not run is noticed.
     ping,
+    /// Asks the home of accounts for tokens.
+    grant_operations,
 };
 
 /// A request to a gate. Fields that the call does not use are empty.
@@ -49,6 +52,8 @@
     session_values session;
     std::optional<prepared_shape> shape;
     bool writes = false;
+    /// Of `grant_operations`.
+    std::vector<token_request> token_requests;
 };
 
 /// A gate's response.
@@ -60,6 +65,8 @@
     /// Whether the transaction is still open.
     bool is_open = false;
     result<statement_answer> answer = error{};
+    /// The answers to `grant_operations`, in the order of the requests.
+    std::vector<token_grant> token_grants;
 };
 
 std::string encode(const gate_message& message);
--- /dev/null
+++ b/src/libpapayabridge/session/limits/fleet_model_test.cpp
@@ -0,0 +1,162 @@
+// The limits of accounts over a simulated fleet: what they let through under faults, what
+// they refuse without faults, and what they cost.
+
+#include "fleet_model_test.hpp"
+
+#include <cmath>
+#include <gtest/gtest.h>
+#include <iostream>
+#include <numeric>
+#include <rapidcheck/gtest.h>
+
+namespace papayabridge {
+
+namespace {
+
+constexpr boot_time start = 100s;
+const account_name acme("acme");
+
+// Weights of the entries: `even` gives all the same, `zipf` gives the first ones most.
+std::vector<double> spread(std::size_t entries, double exponent)
+{
+    std::vector<double> weights;
+    for (std::size_t i = 1; i <= entries; ++i) {
+        weights.push_back(std::pow(static_cast<double>(i), -exponent));
+    }
+    return weights;
+}
+
+} // namespace
+
+// An account at its limit lost a part of it to tokens that expired at entries with few
+// callers.
+TEST(fleet_limits, limit_is_usable_wherever_the_callers_are)
+{
+    struct row
+    {
+        const char* what;
+        double rate;
+        double exponent;
+        double demand;
+    };
+    constexpr double spike = 7.5 / 1.6;
+    const row rows[] = {
+        {"large, even", 281, 0, spike},        {"large, uneven", 281, 1.2, spike},
+        {"large, one entry", 281, 40, spike},  {"middle, uneven", 40, 1.2, spike},
+        {"small, even", 4, 0, spike},          {"small, uneven", 4, 1.2, spike},
+        {"large, little over", 281, 1.2, 1.2}, {"middle, little over", 40, 0.6, 1.2},
+    };
+    for (const auto& row : rows) {
+        client_account limit{.operations_per_second = row.rate, .burst = row.rate};
+        fleet_model fleet({.accounts = {{acme, limit}}});
+        fleet.add_spread_demand(acme, spread(71, row.exponent), row.rate * row.demand,
+                                start, start + 60s);
+        fleet.run_until(start + 60s);
+        auto usable =
+            static_cast<double>(fleet.admitted_between(acme, start + 20s, start + 60s)) /
+            (row.rate * 40);
+        std::cout << row.what << ": usable " << usable << ", busiest window "
+                  << fleet.busiest_window(acme) << " of " << allowed_in_window(limit)
+                  << ", bytes/s " << fleet.bytes() / 60 << " in all, messages/s "
+                  << fleet.messages() / 60 << ", refused at the told time "
+                  << fleet.refused_at_told_time() << ", longest told "
+                  << fleet.longest_told_time().count() << " ms\n";
+        EXPECT_GE(usable, 0.97) << row.what;
+        EXPECT_LE(static_cast<double>(fleet.busiest_window(acme)),
+                  allowed_in_window(limit))
+            << row.what;
+        EXPECT_EQ(fleet.refused_at_told_time(), 0U) << row.what;
+    }
+}
+
+// Accounts at their usual rate were refused because two operations came together, and
+// requests for single tokens filled the links.
+TEST(fleet_limits, usual_load_is_not_refused_and_costs_little)
+{
+    constexpr std::size_t accounts = 78;
+    constexpr double operations = 700;
+    constexpr auto duration = 60s;
+    auto weights = spread(accounts, 1.2);
+    auto sum = std::accumulate(weights.begin(), weights.end(), 0.0);
+    fleet_model_options options;
+    for (std::size_t i = 0; i < accounts; ++i) {
+        auto rate = 1.6 * operations * weights[i] / sum;
+        options.accounts[account_name("account-" + std::to_string(i))] = {
+            .operations_per_second = rate, .burst = rate};
+    }
+    fleet_model fleet(options);
+    std::size_t turn = 0;
+    for (const auto& [name, limit] : options.accounts) {
+        auto callers = spread(71, 0.8);
+        std::rotate(callers.begin(), callers.begin() + static_cast<int>(turn++ % 71),
+                    callers.end());
+        fleet.add_spread_demand(name, callers, limit.operations_per_second / 1.6, start,
+                                start + duration);
+    }
+    fleet.run_until(start + duration);
+    auto per_entry = [&](std::size_t count) {
+        return static_cast<double>(count) / 71 / 60;
+    };
+    std::cout << "refused " << fleet.refused() << "; an entry sends "
+              << per_entry(fleet.messages()) << " messages/s, "
+              << per_entry(fleet.bytes()) << " bytes/s\n";
+    EXPECT_EQ(fleet.refused(), 0U);
+    // All control traffic of an entry must stay under 7 kB/s.
+    EXPECT_LT(per_entry(fleet.bytes()) * 2, 3500);
+}
+
+// Tokens granted before a home was lost, spending without an answer, and two homes at
+// once added up to more than the rule allows.
+RC_GTEST_PROP(fleet_limits, no_fault_lets_more_through_than_allowed, ())
+{
+    auto rate = static_cast<double>(*rc::gen::inRange(1, 400));
+    auto burst = rate * *rc::gen::inRange(0, 20) / 10;
+    client_account limit{.operations_per_second = rate, .burst = burst};
+    auto entries = static_cast<std::size_t>(*rc::gen::inRange(2, 12));
+    auto seed = static_cast<unsigned>(*rc::gen::inRange(1, 1'000'000));
+    fleet_model fleet({.seed = seed,
+                       .entries = entries,
+                       .accounts = {{acme, limit}},
+                       .loss = *rc::gen::inRange(0, 4) / 10.0,
+                       .duplication = *rc::gen::inRange(0, 3) / 10.0,
+                       .jitter = std::chrono::milliseconds(*rc::gen::inRange(0, 200))});
+    auto demand = *rc::gen::inRange(5, 80) / 10.0;
+    auto rest = std::chrono::milliseconds(*rc::gen::inRange(0, 3000));
+    auto exponent = *rc::gen::inRange(0, 20) / 10.0;
+    fleet.add_spread_demand(acme, spread(entries, exponent), rate * demand, start + rest,
+                            start + 20s);
+    // The home changes every 6 s; each entry learns of it within 1 s.
+    for (auto change = start + std::chrono::milliseconds(*rc::gen::inRange(500, 6000));
+         change < start + 20s; change += 6s)
+    {
+        auto home = *rc::gen::inRange<std::size_t>(0, entries);
+        for (std::size_t viewer = 0; viewer < entries; ++viewer) {
+            auto learnt = change + std::chrono::milliseconds(*rc::gen::inRange(0, 1000));
+            fleet.at(learnt,
+                     [&fleet, viewer, home] { fleet.learn_home(acme, viewer, home); });
+        }
+    }
+    // A part of the entries is cut off from the others, again and again.
+    auto cut_from = *rc::gen::inRange<std::size_t>(0, entries);
+    auto cut_time = std::chrono::milliseconds(*rc::gen::inRange(100, 3000));
+    auto cut_pause = std::chrono::milliseconds(*rc::gen::inRange(100, 3000));
+    fleet.cut_links([=, &fleet](std::size_t from, std::size_t to) {
+        auto phase = (fleet.now() - start) % (cut_time + cut_pause);
+        return (from < cut_from) != (to < cut_from) && phase > cut_pause;
+    });
+    auto suspended = *rc::gen::inRange<std::size_t>(0, entries);
+    auto suspended_at = start + std::chrono::milliseconds(*rc::gen::inRange(0, 15000));
+    fleet.at(suspended_at, [&fleet, suspended, suspended_at] {
+        fleet.suspend(suspended, suspended_at + 2s);
+    });
+    fleet.run_until(start + 20s);
+    auto most = static_cast<double>(fleet.busiest_window(acme));
+    static double largest_part = 0;
+    if (most / allowed_in_window(limit) > largest_part) {
+        largest_part = most / allowed_in_window(limit);
+        std::cout << "largest part of the allowed so far: " << largest_part << "\n";
+    }
+    RC_ASSERT(most <= allowed_in_window(limit));
+}
+
+} // namespace papayabridge
--- a/src/libpapayabridge/session/session_entry.cpp
+++ b/src/libpapayabridge/session/session_entry.cpp
@@ -72,12 +72,16 @@
                 .local = local_,
                 .gate = gate_,
                 .pool = pool_}),
+      limiter_({.executor = executor_,
+                .self = settings_.id,
+                .fleet_key = token_codec(settings_.fleet_key)}),
       services_{.executor = executor_,
                 .caller_protocol = protocols_.caller_protocol,
                 .pool = pool_,
                 .members = members_,
                 .view = std::make_shared<pool_view>(),
-                .report = report_},
+                .report = report_,
+                .limiter = &limiter_},
       acceptor_(runtime.control_context()), incarnation_(new_incarnation())
 {
     local_.use_verifier(verifier_);
@@ -124,7 +128,8 @@
         gate_server_.emplace(
             executor_, gate_,
             gate_server_options{.listen = *settings_.gates,
-                                .fleet_key = token_codec(settings_.fleet_key)});
+                                .fleet_key = token_codec(settings_.fleet_key),
+                                .tokens = &limiter_});
         auto started = gate_server_->start();
         if (!started) {
             return started;
@@ -298,6 +303,7 @@
     gate_.update(services_.view);
     verifier_.update(services_.view);
     members_.update(services_.view);
+    limiter_.update(services_.view);
     update_keeper_endpoints();
     report_commits();
 }
@@ -385,6 +391,7 @@
     while (true) {
         auto view = services_.view;
         pool_.close_unused();
+        limiter_.check();
         report_commits();
         if (gate_server_) {
             gate_server_->check(view->configuration.transaction_idle_limit);
--- a/src/libpapayabridge/session/session_entry.hpp
+++ b/src/libpapayabridge/session/session_entry.hpp
@@ -6,6 +6,7 @@
 #include "session/callers/caller_session.hpp"
 #include "session/gate/gate_server.hpp"
 #include "session/gate/gated_access.hpp"
+#include "session/limits/fleet_limiter.hpp"
 #include "session/members/local_access.hpp"
 #include "session_settings.hpp"
 
@@ -80,6 +81,7 @@
     commit_verifier verifier_;
     statement_gate gate_;
     gated_access members_;
+    fleet_limiter limiter_;
     std::optional<gate_server> gate_server_;
     session_services services_;
     session_registry sessions_;
