The first answer to an entry tells how old its directory of keys is

Each confirmation of a keeper counts for the age that it tells, and a keeper that has none of the last second asks for one first.

--- a/src/papayakeeper/keeper_service.cpp
+++ b/src/papayakeeper/keeper_service.cpp
@@ -105,13 +105,11 @@
         // timeout.
         wait = std::min(wait, settings_.entry_timeout / watches_per_timeout);
     }
+    bool wants_age = flag_of(request.body, "dated");
     bool is_up_to_date = false;
-    if (flag_of(request.body, "confirm")) {
-        auto confirmed = co_await replicated_.wait_for_read_barrier(steady_clock::now() +
-                                                                    confirm_timeout);
-        is_up_to_date = bool(confirmed);
+    if (flag_of(request.body, "confirm") || (wants_age && !is_recently_confirmed())) {
+        is_up_to_date = co_await confirm_state();
     }
-    bool wants_age = flag_of(request.body, "dated");
     if (wants_age) {
         confirm_until_ = boottime_now() + confirm_demand;
         if (!is_confirming_) {
@@ -157,16 +155,28 @@
     return found->second;
 }
 
+net::awaitable<bool> keeper_service::confirm_state()
+{
+    auto asked = boottime_now();
+    auto confirmed =
+        co_await replicated_.wait_for_read_barrier(steady_clock::now() + confirm_timeout);
+    if (confirmed) {
+        confirmed_at_ = std::max(confirmed_at_.value_or(asked), asked);
+    }
+    co_return bool(confirmed);
+}
+
+bool keeper_service::is_recently_confirmed() const
+{
+    auto age = confirmed_age();
+    return age && *age < 2 * confirm_interval;
+}
+
 net::awaitable<void> keeper_service::keep_confirmed()
 {
     net::steady_timer timer(co_await net::this_coro::executor);
     while (boottime_now() < confirm_until_) {
-        auto asked = boottime_now();
-        auto confirmed = co_await replicated_.wait_for_read_barrier(steady_clock::now() +
-                                                                    confirm_timeout);
-        if (confirmed) {
-            confirmed_at_ = asked;
-        }
+        static_cast<void>(co_await confirm_state());
         timer.expires_after(confirm_interval);
         co_await timer.async_wait(net::as_tuple(net::use_awaitable));
     }
--- a/src/papayakeeper/keeper_service.hpp
+++ b/src/papayakeeper/keeper_service.hpp
@@ -40,6 +40,9 @@
     /// Confirms the state again and again while watchers ask how old it may be, once for
     /// all of them.
     net::awaitable<void> keep_confirmed();
+    /// Whether a majority of the keepers confirmed the state after the call.
+    net::awaitable<bool> confirm_state();
+    bool is_recently_confirmed() const;
     std::optional<std::chrono::milliseconds> confirmed_age() const;
     const Json::Value& shared_changes(control_index from, const watch_update& update);
 
