--- a/src/libpapayabridge/session/session_settings.cpp
+++ b/src/libpapayabridge/session/session_settings.cpp
@@ -6,6 +6,9 @@
 
 constexpr number_range grace_ms{1000, 600'000};
 constexpr std::size_t shortest_key = 16;
+// A caller's share of less could not hold one message of the maximum size.
+constexpr number_range caller_memory_bytes{8 * 1024 * 1024, 1ULL << 40};
+constexpr number_range session_count{1, 1'000'000};
 
 } // namespace
 
@@ -42,6 +45,13 @@
         settings.key_withdrawal =
             section.duration("key_withdrawal_ms", grace_ms, std::chrono::seconds(5));
     }
+    if (section.has("caller_memory_bytes")) {
+        settings.caller_memory =
+            section.number("caller_memory_bytes", caller_memory_bytes);
+    }
+    if (section.has("max_sessions")) {
+        settings.max_sessions = section.number("max_sessions", session_count);
+    }
     settings.stop_grace =
         section.duration("stop_grace_ms", grace_ms, settings.stop_grace);
     return settings;
--- a/src/libpapayabridge/session/session_settings.hpp
+++ b/src/libpapayabridge/session/session_settings.hpp
@@ -30,6 +30,11 @@
     /// Time after the acknowledgement of a configuration in which an access key that it
     /// withdrew may still be used; empty if keys need not be withdrawn in time.
     std::optional<std::chrono::milliseconds> key_withdrawal;
+    /// Memory held for all callers together, in bytes; empty for a part of the machine's
+    /// memory.
+    std::optional<std::size_t> caller_memory;
+    /// Number of sessions; empty for a part of the process's descriptor limit.
+    std::optional<std::size_t> max_sessions;
     /// Time from the stop signal until the process is killed.
     std::chrono::milliseconds stop_grace{6000};
 };
