Entries bound the memory and connections that callers take

Unread input, statements that run, unread answers and session values are counted per session against one budget (caller_memory_bytes, by default a third of the machine's memory). When it is used up, memory is reclaimed in the order of design/014; a caller with at most 4 KiB is always served. Statements and values of ordinary size are counted by comparisons only.

Sessions are limited to max_sessions (three quarters of the descriptors), a session without STARTUP is closed after 10 s, and freed memory is returned to the system. Input buffers grow to just above the message limit instead of twice as much, are released after a large message, and a message in small pieces is parsed once instead of at each piece. A caller that does not read its answer keeps no statement.

--- a/src/include/papayabridge/log.hpp
+++ b/src/include/papayabridge/log.hpp
@@ -99,6 +99,7 @@
     promotion_answered,
     primary_changed,
     session_refused,
+    caller_refused,
     session_closed,
     gate_refused,
     transaction_ended,
--- a/src/include/papayabridge/statement_codec.hpp
+++ b/src/include/papayabridge/statement_codec.hpp
@@ -46,6 +46,9 @@
 
     virtual result<std::optional<caller_message>>
     decode(std::string_view& input) const = 0;
+    /// Whether a message may be complete once \p added was appended to the input. Lets
+    /// the reader decode a message that arrives in small pieces once instead of at each.
+    virtual bool may_end_message(std::string_view added) const = 0;
     /// Confirms that the session is open.
     virtual void encode_opened(std::string& out) const = 0;
     /// Refuses the session; the connection must then be closed.
--- a/src/libpapayabridge/core/observability/log_events.cpp
+++ b/src/libpapayabridge/core/observability/log_events.cpp
@@ -117,6 +117,8 @@
                   "service member token took_us"},
     log_event_row{log_event::session_refused, "session_refused", failure,
                   "database version kind detail"},
+    log_event_row{log_event::caller_refused, "caller_refused", trouble,
+                  "caller database reason held_bytes all_held_bytes"},
     log_event_row{log_event::session_closed, "session_closed", trouble,
                   "database detail"},
     log_event_row{log_event::gate_refused, "gate_refused", trouble,
--- a/src/libpapayabridge/core/observability/metric_table.cpp
+++ b/src/libpapayabridge/core/observability/metric_table.cpp
@@ -7,7 +7,11 @@
 
 namespace {
 
-constexpr std::array<metric_row, 23> rows{{
+constexpr std::array<metric_row, 25> rows{{
+    {"papaya_caller_memory_bytes", "gauge", "bytes", "",
+     "Memory held for callers: unread input, unsent answers, session values"},
+    {"papaya_callers_refused_total", "counter", "callers", "reason",
+     "Callers refused or closed because of the memory or connections that they hold"},
     {"papaya_configuration_version", "gauge", "version", "",
      "Configuration in force at an entry, or held by a keeper"},
     {"papaya_control_index", "gauge", "commands", "",
--- a/src/libpapayabridge/session/callers/caller_session.cpp
+++ b/src/libpapayabridge/session/callers/caller_session.cpp
@@ -16,27 +16,12 @@
 namespace {
 
 constexpr auto use_tuple = net::as_tuple(net::use_awaitable);
-constexpr std::size_t read_chunk_bytes = 1024;
-// An empty input buffer with more capacity than this is released.
-constexpr std::size_t max_idle_buffer_bytes = 4096;
 // Shorter than the two seconds after which callers abandon an opening.
 constexpr std::chrono::milliseconds configuration_wait{1700};
 constexpr std::chrono::milliseconds configuration_poll{10};
-// Applies to session values and to prepared names separately; bounds the memory of one
-// session.
-constexpr std::size_t max_session_values = 256;
 
 } // namespace
 
-std::vector<std::shared_ptr<caller_session>> session_registry::open_sessions() const
-{
-    std::vector<std::shared_ptr<caller_session>> sessions;
-    for (auto* session : sessions_) {
-        sessions.push_back(session->shared_from_this());
-    }
-    return sessions;
-}
-
 caller_session::caller_session(tcp::socket socket, session_services& services,
                                session_registry& registry)
     : socket_(std::move(socket)), services_(services), registry_(registry),
@@ -84,41 +69,6 @@
     }
 }
 
-net::awaitable<result<caller_message>> caller_session::read_message()
-{
-    while (true) {
-        std::string_view remaining = input_;
-        auto message = services_.caller_protocol.decode(remaining);
-        if (!message) {
-            co_return message.error();
-        }
-        if (message.value()) {
-            auto decoded = std::move(*message.value());
-            input_.erase(0, input_.size() - remaining.size());
-            co_return decoded;
-        }
-        if (input_.empty() && input_.capacity() > max_idle_buffer_bytes) {
-            input_.shrink_to_fit();
-        }
-        std::array<char, read_chunk_bytes> chunk{};
-        auto [failed, count] =
-            co_await socket_.async_read_some(net::buffer(chunk), use_tuple);
-        if (failed) {
-            co_return fail(error_kind::unreachable, failed.message());
-        }
-        input_.append(chunk.data(), count);
-    }
-}
-
-net::awaitable<bool> caller_session::write(std::string bytes)
-{
-    writing_ = true;
-    auto [failed, count] =
-        co_await net::async_write(socket_, net::buffer(bytes), use_tuple);
-    writing_ = false;
-    co_return !failed;
-}
-
 // An entry that has just started does not know yet which databases exist, so a new
 // session waits for the configuration for a limited time.
 net::awaitable<bool> caller_session::wait_for_configuration()
@@ -143,6 +93,7 @@
               {"kind", answer_of(reason.kind).name},
               {"detail", reason.detail}});
     services_.report.record_refused_session(reason.kind);
+    release_input();
     std::string bytes;
     services_.caller_protocol.encode_refusal(bytes, reason);
     co_await write(std::move(bytes));
@@ -154,7 +105,9 @@
     const auto* opening = first ? std::get_if<session_opening>(&first.value()) : nullptr;
     if (opening == nullptr) {
         if (first || first.error().kind != error_kind::unreachable) {
-            auto reason = fail(error_kind::bad_request, "expected an opening message");
+            auto reason =
+                first ? fail(error_kind::bad_request, "expected an opening message")
+                      : first.error();
             co_await refuse_session(reason);
         }
         co_return false;
@@ -177,6 +130,7 @@
     }
     std::string bytes;
     services_.caller_protocol.encode_opened(bytes);
+    is_open_ = true;
     co_return co_await write(std::move(bytes));
 }
 
@@ -201,8 +155,17 @@
         if (const auto* stmt = std::get_if<statement>(&message.value())) {
             running_ = true;
             idle_timer_.cancel();
-            auto reply = co_await answer(*stmt);
-            services_.caller_protocol.encode_answer(bytes, reply);
+            statement_answer reply;
+            auto refused = hold_statement();
+            if (refused) {
+                reply = failed_answer(std::move(*refused));
+            } else {
+                reply = co_await answer(*stmt);
+            }
+            bytes = encode_reply(std::move(reply), stmt->verb);
+            // A caller that does not read its answer must not keep its statement here.
+            message.value() = session_closing{};
+            release_statement();
             running_ = false;
             start_idle_timer();
         } else if (const auto* unknown = std::get_if<unknown_statement>(&message.value()))
@@ -388,32 +351,6 @@
     co_return co_await runner_.run_alone(stmt, route_copy);
 }
 
-net::awaitable<statement_answer> caller_session::set_value(const statement& stmt)
-{
-    auto& values = state_.values.values;
-    if (values.count(stmt.name) == 0 && values.size() >= max_session_values) {
-        co_return failed_answer(fail(error_kind::bad_request, "too many session values"));
-    }
-    values[stmt.name] = stmt.value;
-    co_return success_answer();
-}
-
-net::awaitable<statement_answer> caller_session::prepare(const statement& stmt)
-{
-    auto& prepared = state_.values.prepared;
-    if (prepared.count(stmt.name) == 0 && prepared.size() >= max_session_values) {
-        co_return failed_answer(fail(error_kind::bad_request, "too many prepared names"));
-    }
-    prepared[stmt.name] = stmt.prepared;
-    co_return success_answer();
-}
-
-net::awaitable<statement_answer> caller_session::close_prepared(const statement& stmt)
-{
-    state_.values.prepared.erase(stmt.name);
-    co_return success_answer();
-}
-
 void caller_session::end_transaction()
 {
     idle_timer_.cancel();
--- a/src/libpapayabridge/session/callers/caller_session.hpp
+++ b/src/libpapayabridge/session/callers/caller_session.hpp
@@ -4,11 +4,13 @@
 
 #pragma once
 
+#include "session_registry.hpp"
 #include "statement_runner.hpp"
 
 namespace papayabridge {
 
-class session_registry;
+/// Applies to session values and to prepared names separately.
+inline constexpr std::size_t max_session_values = 256;
 
 /// Serves one connection until it ends. The session's coroutine owns the object.
 class caller_session : public std::enable_shared_from_this<caller_session>
@@ -24,6 +26,18 @@
     bool is_running() const noexcept { return running_ || writing_; }
     /// Closes the connection; an open transaction is rolled back.
     void close();
+    /// Sends \p reason if possible without waiting, closes the connection and frees what
+    /// is held for the caller. Must not be called while a statement is running.
+    void end(const error& reason);
+
+    /// Whether STARTUP was accepted.
+    bool is_open() const noexcept { return is_open_; }
+    bool is_ended() const noexcept { return is_ended_; }
+    time_point connected_at() const noexcept { return connected_at_; }
+    tcp::endpoint remote() const;
+    const database_name& database() const noexcept { return state_.database; }
+    caller_holdings& holdings() noexcept { return holdings_; }
+    reclaim_candidate as_candidate() const;
 
 private:
     using statement_handler =
@@ -35,6 +49,13 @@
     net::awaitable<bool> wait_for_configuration();
     net::awaitable<result<caller_message>> read_message();
     net::awaitable<bool> write(std::string bytes);
+    std::optional<memory_refusal> grow_input(std::size_t more);
+    void shrink_input();
+    void release_input();
+    std::optional<error> hold_statement();
+    void release_statement();
+    std::optional<error> hold_values(std::size_t bytes_before, std::size_t bytes_after);
+    std::string encode_reply(statement_answer reply, statement_verb verb);
     net::awaitable<statement_answer> answer(const statement& stmt);
     statement_answer refuse_unknown(const unknown_statement& unknown) const;
 
@@ -67,26 +88,17 @@
     std::optional<session_transaction> transaction_;
     net::steady_timer idle_timer_;
     std::string input_;
+    /// Size of the message that was read last.
+    std::size_t message_bytes_ = 0;
+    caller_holdings holdings_;
+    time_point connected_at_ = steady_clock::now();
+    /// When the caller last sent bytes, or an answer was begun or sent.
+    time_point last_progress_ = connected_at_;
+    bool is_open_ = false;
+    bool is_ended_ = false;
     bool running_ = false;
     // An answer is written in parts if it is larger than the socket's buffer.
     bool writing_ = false;
 };
 
-/// The open sessions of an entry.
-class session_registry
-{
-public:
-    void add(caller_session* session) { sessions_.insert(session); }
-    void remove(caller_session* session) { sessions_.erase(session); }
-    std::size_t size() const noexcept { return sessions_.size(); }
-    /// Returns a copy, because closing a session changes the set.
-    std::vector<std::shared_ptr<caller_session>> open_sessions() const;
-
-    /// Whether sessions close as soon as they are idle; set during shutdown.
-    bool close_when_idle = false;
-
-private:
-    std::set<caller_session*> sessions_;
-};
-
 } // namespace papayabridge
--- a/src/libpapayabridge/session/session_entry.cpp
+++ b/src/libpapayabridge/session/session_entry.cpp
@@ -1,6 +1,7 @@
 #include "session_entry.hpp"
 
 #include "net/metrics_page.hpp"
+#include "process_limits.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -32,6 +33,8 @@
 constexpr std::chrono::milliseconds failure_validity{600};
 // When descriptors run out, accepting fails until a connection is closed.
 constexpr std::chrono::milliseconds accept_pause{20};
+// How often unopened sessions are looked for; a tenth of their timeout.
+constexpr std::chrono::milliseconds caller_check_period{1000};
 
 std::uint64_t new_incarnation()
 {
@@ -40,6 +43,16 @@
         std::chrono::duration_cast<std::chrono::microseconds>(now).count());
 }
 
+// A quarter of the descriptors is left for members, other entries, keepers and files: 752
+// of 3,010, of which the platform reserves 200.
+session_limits limits_of(const session_settings& settings)
+{
+    auto memory =
+        settings.caller_memory.value_or(default_caller_memory(machine_memory_bytes()));
+    return {.memory = make_memory_limits(memory),
+            .max_sessions = settings.max_sessions.value_or(descriptor_limit() / 4 * 3)};
+}
+
 // Start of the period in which the member has answered no outstanding statement, if
 // that is longer than an overloaded member would need.
 std::optional<time_point> unanswered_since(const member_health& health, time_point now)
@@ -78,7 +91,8 @@
                 .members = members_,
                 .view = std::make_shared<pool_view>(),
                 .report = report_},
-      acceptor_(runtime.control_context()), incarnation_(new_incarnation())
+      sessions_(limits_of(settings_)), acceptor_(runtime.control_context()),
+      incarnation_(new_incarnation())
 {
     local_.use_verifier(verifier_);
     if (settings_.key_withdrawal) {
@@ -98,6 +112,7 @@
 result<void> session_entry::start()
 {
     started_ = steady_clock::now();
+    return_large_blocks();
     boost::system::error_code failed;
     acceptor_.open(settings_.callers.protocol(), failed);
     if (!failed) {
@@ -133,6 +148,7 @@
     net::co_spawn(executor_, accept(), net::detached);
     net::co_spawn(executor_, follow_keepers(), net::detached);
     net::co_spawn(executor_, check_members(), net::detached);
+    net::co_spawn(executor_, check_callers(), net::detached);
     return success();
 }
 
@@ -148,6 +164,10 @@
             co_await sleep_for(accept_pause);
             continue;
         }
+        boost::system::error_code ignored;
+        if (!sessions_.admit_connection(socket.remote_endpoint(ignored))) {
+            continue;
+        }
         auto session =
             std::make_shared<caller_session>(std::move(socket), services_, sessions_);
         session->start();
@@ -369,6 +389,7 @@
 {
     auto& all = metrics::process();
     all.gauge_of("papaya_sessions").set(log_number(sessions_.size()));
+    all.gauge_of("papaya_caller_memory_bytes").set(log_number(sessions_.held_bytes()));
     all.gauge_of("papaya_member_connections").set(log_number(pool_.open_connections()));
     all.gauge_of("papaya_statements_waiting").set(log_number(pool_.waiting_statements()));
     all.gauge_of("papaya_gate_running").set(log_number(gate_.running()));
@@ -398,6 +419,14 @@
     }
 }
 
+net::awaitable<void> session_entry::check_callers()
+{
+    while (true) {
+        sessions_.check();
+        co_await sleep_for(caller_check_period);
+    }
+}
+
 void session_entry::check_member(const service_name& service, const member_id& member,
                                  bool is_primary)
 {
--- a/src/libpapayabridge/session/session_entry.hpp
+++ b/src/libpapayabridge/session/session_entry.hpp
@@ -45,6 +45,7 @@
     net::awaitable<void> follow_keepers();
     net::awaitable<void> register_self();
     net::awaitable<void> check_members();
+    net::awaitable<void> check_callers();
     void check_member(const service_name& service, const member_id& member,
                       bool is_primary);
     /// Reports what was acknowledged of the commits of suspected primaries.
