A home that restarts before it is missed refills its token buckets at once

An entry that the fleet still lists as up when it starts was not missed, so no other entry has been the home, and its own grants ended with its previous run.

Test: fleet_limiter.home_that_restarts_before_it_is_missed_refills_at_once.

--- a/src/libpapayabridge/core/accounts/rate_limit.cpp
+++ b/src/libpapayabridge/core/accounts/rate_limit.cpp
@@ -105,6 +105,13 @@
 {
 }
 
+token_bucket token_bucket::resumed(boot_time now)
+{
+    token_bucket bucket(now);
+    bucket.slow_until_ = now;
+    return bucket;
+}
+
 // What others grant meanwhile is not counted: the limit is kept from one window after all
 // entries have it.
 token_bucket token_bucket::full(const client_account& limit, boot_time now)
--- a/src/libpapayabridge/core/accounts/rate_limit.hpp
+++ b/src/libpapayabridge/core/accounts/rate_limit.hpp
@@ -89,6 +89,9 @@
     /// The bucket of a home that was made just now: empty, and refilled slowly at first,
     /// since another entry may still act as the home.
     explicit token_bucket(boot_time now);
+    /// The bucket of a home that was one before, in a run that has ended: empty, and
+    /// refilled at once.
+    static token_bucket resumed(boot_time now);
     /// The full bucket of an account that had no limit until now.
     static token_bucket full(const client_account& limit, boot_time now);
 
--- a/src/libpapayabridge/session/limits/fleet_limiter_test.cpp
+++ b/src/libpapayabridge/session/limits/fleet_limiter_test.cpp
@@ -269,6 +269,23 @@
     EXPECT_GE(fleet.admitted(fleet.admit_at(2, 5)), 1U);
 }
 
+// After all power was lost, callers within their limits were refused for a second: each
+// home refilled its buckets slowly, for fear of another home.
+TEST(fleet_limiter, home_that_restarts_before_it_is_missed_refills_at_once)
+{
+    limited_fleet fleet;
+    fleet.set_limit(100, 1);
+    fleet.publish();
+    auto home = fleet.entries[0]->id;
+    fleet.entries[0] = std::make_unique<limiting_entry>(fleet.context, home);
+    fleet.view.gate_entries[home] = {.endpoint = fleet.entries[0]->endpoint};
+    fleet.publish_to(0);
+    fleet.run_for(300ms);
+    // 30 tokens are there by now, or 7 at a home that starts slowly; the bucket holds 13.
+    auto decisions = fleet.admit_at(0, 13, 1ms);
+    EXPECT_GE(limited_fleet::admitted(decisions), 12U);
+}
+
 TEST(fleet_limiter, lowered_limit_holds_at_the_next_grant)
 {
     limited_fleet fleet;
