--- a/src/libpapayabridge/core/accounts/rate_limit_test.cpp
+++ b/src/libpapayabridge/core/accounts/rate_limit_test.cpp
@@ -50,6 +50,7 @@
 TEST(order_homes, loss_of_an_entry_moves_only_its_own_accounts)
 {
     std::vector<entry_id> entries;
+    entries.reserve(20);
     for (int i = 0; i < 20; ++i) {
         entries.emplace_back("entry-" + std::to_string(i));
     }
