--- a/src/libpapayabridge/session/limits/fleet_limiter.cpp
+++ b/src/libpapayabridge/session/limits/fleet_limiter.cpp
@@ -19,6 +19,8 @@
 // A home that has not answered for this long is asked over a new connection: the old one
 // may resend with long pauses.
 constexpr milliseconds reconnect_after{450};
+// Time between two such connections, each of which may log a line.
+constexpr milliseconds reconnect_pause{2000};
 // A link that was not used for this long is closed; its keepalive costs bytes.
 constexpr milliseconds link_idle_time{30'000};
 
@@ -44,7 +46,9 @@
     limit_counters::process().unanswered_requests.add();
     if (!home.silent_since) {
         home.silent_since = now;
-    } else if (now - *home.silent_since > reconnect_after) {
+    } else if (now - *home.silent_since > reconnect_after &&
+               now - home.link_made_at > reconnect_pause)
+    {
         home.link.reset();
     }
 }
--- a/src/libpapayabridge/session/limits/fleet_limiter_state.cpp
+++ b/src/libpapayabridge/session/limits/fleet_limiter_state.cpp
@@ -168,6 +168,7 @@
     if (!home->link || home->link->endpoint() != endpoint) {
         home->link = std::make_shared<gate_link>(options.executor, id, endpoint,
                                                  options.fleet_key);
+        home->link_made_at = now();
     }
     return home;
 }
--- a/src/libpapayabridge/session/limits/fleet_limiter_state.hpp
+++ b/src/libpapayabridge/session/limits/fleet_limiter_state.hpp
@@ -48,6 +48,7 @@
 struct remote_home
 {
     std::shared_ptr<gate_link> link;
+    boot_time link_made_at{0};
     std::vector<std::shared_ptr<limited_account>> queue;
     unsigned unanswered = 0;
     std::optional<boot_time> silent_since;
--- a/src/libpapayabridge/session/limits/fleet_limiter_test.cpp
+++ b/src/libpapayabridge/session/limits/fleet_limiter_test.cpp
@@ -188,6 +188,30 @@
     EXPECT_LE(limit_counters::process().requests.value() - before, 3U);
 }
 
+// Each account sent messages of its own to a home that they share.
+TEST(fleet_limiter, accounts_of_one_home_share_a_request)
+{
+    limited_fleet fleet;
+    for (int i = 0; i < 20; ++i) {
+        fleet.view.configuration.accounts[account_name("account-" + std::to_string(i))] =
+            {.operations_per_second = 10, .burst = 10};
+    }
+    fleet.publish();
+    auto before = limit_counters::process().requests.value();
+    std::size_t count = 0;
+    auto admit = [&](account_name account) -> net::awaitable<void> {
+        auto decision = co_await fleet.entries[1]->limiter->admit(
+            account, steady_clock::now() + 400ms);
+        count += decision.is_admitted ? 1 : 0;
+    };
+    for (const auto& [account, limit] : fleet.view.configuration.accounts) {
+        net::co_spawn(fleet.context, admit(account), net::detached);
+    }
+    fleet.run_for(200ms);
+    EXPECT_EQ(count, 20U);
+    EXPECT_LE(limit_counters::process().requests.value() - before, 4U);
+}
+
 // After a refusal the home was asked again for each operation.
 TEST(fleet_limiter, refused_account_is_admitted_at_the_told_time_and_not_asked_before)
 {
--- a/src/libpapayabridge/session/limits/fleet_model_test.cpp
+++ b/src/libpapayabridge/session/limits/fleet_model_test.cpp
@@ -258,8 +258,13 @@
     auto demand = *rc::gen::inRange(5, 80) / 10.0;
     auto rest = std::chrono::milliseconds(*rc::gen::inRange(0, 3000));
     auto exponent = *rc::gen::inRange(0, 20) / 10.0;
-    fleet.add_spread_demand(acme, spread(entries, exponent), rate * demand, start + rest,
-                            start + 20s);
+    // With pauses, so that tokens are held when the next operations come.
+    auto pulse = std::chrono::milliseconds(*rc::gen::inRange(50, 6000));
+    auto pause = std::chrono::milliseconds(*rc::gen::inRange(0, 2000));
+    for (auto begin = start + rest; begin < start + 20s; begin += pulse + pause) {
+        fleet.add_spread_demand(acme, spread(entries, exponent), rate * demand, begin,
+                                begin + pulse);
+    }
     // The home changes every 6 s; each entry learns of it within 1 s.
     for (auto change = start + std::chrono::milliseconds(*rc::gen::inRange(500, 6000));
          change < start + 20s; change += 6s)
