--- a/src/libpapayabridge/session/limits/fleet_limiter.cpp
+++ b/src/libpapayabridge/session/limits/fleet_limiter.cpp
@@ -13,14 +13,14 @@
 using std::chrono::milliseconds;
 
 constexpr auto use_tuple = net::as_tuple(net::use_awaitable);
-// An answer that takes longer brings tokens that have expired.
-constexpr milliseconds answer_timeout{150};
 // How long a request waits for those of other accounts while another one to the same home
 // is not answered yet. Short compared with the latency of a statement.
 constexpr milliseconds batch_time{3};
 // A home that has not answered for this long is asked over a new connection: the old one
 // may resend with long pauses.
 constexpr milliseconds reconnect_after{450};
+// Time between two such connections, each of which may log a line.
+constexpr milliseconds reconnect_pause{2000};
 // A link that was not used for this long is closed; its keepalive costs bytes.
 constexpr milliseconds link_idle_time{30'000};
 
@@ -31,7 +31,7 @@
 {
     bool is_from_home = grant.granted > 0 || grant.retry_after.count() > 0;
     if (is_from_home) {
-        account.tokens.record_answer(grant, sent_at, now);
+        account.tokens.record_answer(grant, token_life(account.limit), sent_at, now);
     } else {
         account.tokens.record_silence(now);
     }
@@ -46,7 +46,9 @@
     limit_counters::process().unanswered_requests.add();
     if (!home.silent_since) {
         home.silent_since = now;
-    } else if (now - *home.silent_since > reconnect_after) {
+    } else if (now - *home.silent_since > reconnect_after &&
+               now - home.link_made_at > reconnect_pause)
+    {
         home.link.reset();
     }
 }
@@ -65,10 +67,10 @@
 {
     sent_requests sent{.at = now, .accounts = std::exchange(home.queue, {})};
     for (const auto& account : sent.accounts) {
-        auto wanted = account->tokens.wanted(std::max(1U, account->waiting), now);
-        sent.requests.push_back({.account = account->name,
-                                 .wanted = std::max(1U, wanted),
-                                 .overspent = account->tokens.unreported()});
+        auto request =
+            account->tokens.request(account->name, std::max(1U, account->waiting), now);
+        request.wanted = std::max(1U, request.wanted);
+        sent.requests.push_back(std::move(request));
         sent.home_changes.push_back(account->home_changes);
     }
     return sent;
@@ -112,7 +114,7 @@
         home->last_used = sent.at;
         limit_counters::process().requests.add();
         answers = co_await link->request_tokens(sent.requests,
-                                                steady_clock::now() + answer_timeout);
+                                                steady_clock::now() + answer_time);
         --home->unanswered;
     }
     auto now = limits->now();
@@ -125,16 +127,13 @@
          unsigned waiting)
 {
     auto now = limits->now();
-    auto wanted = account->tokens.wanted(waiting, now);
-    if (account->is_asked || wanted == 0) {
+    auto request = account->tokens.request(account->name, waiting, now);
+    if (account->is_asked || request.wanted == 0) {
         return;
     }
     if (account->home == limits->options.self) {
-        std::vector<token_request> requests{{.account = account->name,
-                                             .wanted = wanted,
-                                             .overspent = account->tokens.unreported()}};
-        auto grant = limits->grant(0, requests).front();
-        account->tokens.record_reported(requests.front().overspent);
+        auto grant = limits->grant(0, {request}).front();
+        account->tokens.record_reported(request.overspent);
         record_grant(*account, grant, now, now);
         return;
     }
--- a/src/libpapayabridge/session/limits/fleet_limiter_state.cpp
+++ b/src/libpapayabridge/session/limits/fleet_limiter_state.cpp
@@ -151,8 +151,7 @@
         } else if (bucket == buckets.end()) {
             grants.emplace_back();
         } else {
-            grants.push_back(bucket->second.grant(account->limit, from, request.wanted,
-                                                  request.overspent, now()));
+            grants.push_back(bucket->second.grant(account->limit, from, request, now()));
         }
         limit_counters::process().granted.add(grants.back().granted);
     }
@@ -173,6 +172,7 @@
     if (!home->link || home->link->endpoint() != endpoint) {
         home->link = std::make_shared<gate_link>(options.executor, id, endpoint,
                                                  options.fleet_key);
+        home->link_made_at = now();
     }
     return home;
 }
