Connections to members keep a bounded copy of session state

Buffers for large answers are released when the connection is idle.

The copies of session values that a running statement needs are counted. What a caller may hold between statements leaves room for a message, so that values never close a session.

--- a/src/libpapayabridge/core/admission/memory_budget.cpp
+++ b/src/libpapayabridge/core/admission/memory_budget.cpp
@@ -1,7 +1,6 @@
 #include "memory_budget.hpp"
 
 #include <algorithm>
-#include <papayabridge/statement_codec.hpp>
 
 namespace papayabridge {
 
@@ -9,11 +8,11 @@
 
 // The rest is for the process itself, its connections to members, and the kernel.
 constexpr std::size_t machine_part = 3;
-// 17 messages of the maximum size being run; the smallest machines have 112 MB.
+// 16 messages of the maximum size that run; the smallest machines have 112 MB.
 constexpr std::size_t min_total = 32 * 1024 * 1024;
 constexpr std::size_t share_part = 8;
-// A message of the maximum size while it runs is held twice (once as sent to the member),
-// beside a session value of the same size.
+// A message of the maximum size arrives beside session values of three times that size;
+// callers set up to 256 values and 256 names of some hundred bytes, 0.3 MB.
 constexpr std::size_t min_share = 4 * statement_message_limit;
 // Above the buffer of an ordinary statement (up to some hundred bytes); that of 3,000
 // sessions is 12 MB.
@@ -68,6 +67,7 @@
 {
     return {.total = total,
             .share = std::max(total / share_part, min_share),
+            .kept_for_input = largest_input_bytes,
             .allowance = allowance,
             .idle_after = idle_after};
 }
@@ -94,8 +94,12 @@
     if (wanted <= limits_.allowance) {
         return std::nullopt;
     }
-    if (use != memory_use::output &&
-        wanted - caller.of(memory_use::output) > limits_.share) {
+    auto between_statements =
+        wanted - caller.of(memory_use::output) - caller.of(memory_use::statement);
+    if (use == memory_use::input && between_statements > limits_.share) {
+        return memory_refusal::over_share;
+    }
+    if (use == memory_use::values && bytes > limits_.share - limits_.kept_for_input) {
         return memory_refusal::over_share;
     }
     if (held_ - before + bytes > limits_.total) {
--- a/src/libpapayabridge/core/admission/memory_budget.hpp
+++ b/src/libpapayabridge/core/admission/memory_budget.hpp
@@ -16,6 +16,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <papayabridge/statement_codec.hpp>
 #include <string_view>
 #include <vector>
 
@@ -32,13 +33,19 @@
     values,    ///< Session values and prepared names.
 };
 
+/// Size up to which the input buffer of a caller grows; just above the largest message.
+inline constexpr std::size_t largest_input_bytes = statement_message_limit + 4096;
+
 /// Limits in bytes.
 struct memory_limits
 {
     /// All callers together.
     std::size_t total = 0;
-    /// One caller; answers, which it does not choose, count only in the total.
+    /// Input and values of one caller. What a statement needs while it runs, and its
+    /// answer, count only in the total.
     std::size_t share = 0;
+    /// Part of the share that values leave for a message.
+    std::size_t kept_for_input = 0;
     /// What a caller is always granted.
     std::size_t allowance = 0;
     /// A buffer without progress for this time is idle.
--- a/src/libpapayabridge/core/admission/memory_budget_test.cpp
+++ b/src/libpapayabridge/core/admission/memory_budget_test.cpp
@@ -11,8 +11,11 @@
 
 constexpr std::size_t kib = 1024;
 constexpr std::size_t mib = 1024 * kib;
-constexpr memory_limits limits{
-    .total = 16 * mib, .share = 4 * mib, .allowance = 4 * kib, .idle_after = 2s};
+constexpr memory_limits limits{.total = 16 * mib,
+                               .share = 4 * mib,
+                               .kept_for_input = mib,
+                               .allowance = 4 * kib,
+                               .idle_after = 2s};
 
 // A budget of which only \p free bytes are left.
 memory_budget budget_with(std::size_t free)
@@ -93,6 +96,33 @@
     }
 }
 
+// A session with many values was closed because its next message did not fit its share.
+TEST(memory_budget, values_leave_room_for_a_message)
+{
+    memory_budget budget(limits);
+    caller_holdings caller;
+    EXPECT_EQ(budget.check(caller, memory_use::values, 3 * mib + 1), over_share);
+    EXPECT_EQ(budget.check(caller, memory_use::values, 3 * mib), std::nullopt);
+    budget.set(caller, memory_use::values, 3 * mib);
+    EXPECT_EQ(budget.check(caller, memory_use::input, mib), std::nullopt);
+}
+
+// A statement of a session with many values was refused in calm, as copies of the values
+// exist while it runs.
+TEST(memory_budget, what_a_statement_needs_counts_only_in_the_total)
+{
+    memory_budget budget(limits);
+    caller_holdings caller;
+    budget.set(caller, memory_use::values, 3 * mib);
+    EXPECT_EQ(budget.check(caller, memory_use::statement, 9 * mib), std::nullopt);
+    EXPECT_EQ(budget.check(caller, memory_use::statement, 14 * mib), exhausted);
+    budget.set(caller, memory_use::statement, 9 * mib);
+    EXPECT_EQ(budget.check(caller, memory_use::input, mib), std::nullopt);
+    EXPECT_EQ(budget.check(caller, memory_use::input, mib + 1), over_share);
+    EXPECT_EQ(budget.check(caller, memory_use::output, 4 * mib), std::nullopt);
+    EXPECT_EQ(budget.check(caller, memory_use::output, 5 * mib), exhausted);
+}
+
 // A caller's memory stayed accounted after it was freed, until every caller was refused.
 TEST(memory_budget, freed_memory_can_be_used_again)
 {
--- a/src/libpapayabridge/core/sessions/session_setup.hpp
+++ b/src/libpapayabridge/core/sessions/session_setup.hpp
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <papayabridge/statement.hpp>
 
@@ -24,6 +25,9 @@
     std::map<prepared_shape, std::string> prepared;
     /// Number of names used on this connection so far.
     unsigned names_assigned = 0;
+    /// Sizes of the values and of the prepared shapes, with the names of the values.
+    std::size_t value_bytes = 0;
+    std::size_t shape_bytes = 0;
 };
 
 /// Messages to send before a statement, in the order of the fields.
--- a/src/libpapayabridge/core/sessions/session_setup_test.cpp
+++ b/src/libpapayabridge/core/sessions/session_setup_test.cpp
@@ -56,6 +56,27 @@
     EXPECT_NE(other.prepared_name, first.prepared_name);
 }
 
+// Each of the 64 shapes of a connection could have the size of a message, so that two
+// callers made an entry hold 127 MB.
+TEST(session_setup, shapes_of_a_connection_are_bounded_in_bytes)
+{
+    connection_contents held;
+    for (int number = 0; number < 60; ++number) {
+        prepared_shape shape{.shape = std::to_string(number) + std::string(100'000, 'a')};
+        auto setup = plan_connection_setup(held, {}, shape);
+        EXPECT_TRUE(setup.prepare);
+        EXPECT_EQ(setup.reset, number > 0 && number % 2 == 0);
+        held = setup.resulting_contents;
+        EXPECT_LE(held.prepared.size(), 2U);
+    }
+    prepared_shape large{.shape = std::string(1'000'000, 'a')};
+    auto setup = plan_connection_setup(held, {}, large);
+    EXPECT_TRUE(setup.reset);
+    EXPECT_TRUE(setup.prepare);
+    EXPECT_EQ(setup.resulting_contents.shape_bytes, 1'000'000U);
+    EXPECT_FALSE(plan_connection_setup(setup.resulting_contents, {}, large).reset);
+}
+
 RC_GTEST_PROP(session_setup, each_session_gets_its_own_values,
               (const std::vector<values>& sessions,
                const std::vector<std::string>& shapes))
--- a/src/libpapayabridge/session/callers/caller_session.cpp
+++ b/src/libpapayabridge/session/callers/caller_session.cpp
@@ -156,7 +156,7 @@
             running_ = true;
             idle_timer_.cancel();
             statement_answer reply;
-            auto refused = hold_statement();
+            auto refused = hold_statement(stmt->verb);
             if (refused) {
                 reply = failed_answer(std::move(*refused));
             } else {
--- a/src/libpapayabridge/session/callers/caller_session.hpp
+++ b/src/libpapayabridge/session/callers/caller_session.hpp
@@ -52,7 +52,7 @@
     std::optional<memory_refusal> grow_input(std::size_t more);
     void shrink_input();
     void release_input();
-    std::optional<error> hold_statement();
+    std::optional<error> hold_statement(statement_verb verb);
     void release_statement();
     std::optional<error> hold_values(std::size_t bytes_before, std::size_t bytes_after);
     std::string encode_reply(statement_answer reply, statement_verb verb);
--- a/src/libpapayabridge/session/callers/caller_session_memory.cpp
+++ b/src/libpapayabridge/session/callers/caller_session_memory.cpp
@@ -16,11 +16,14 @@
 constexpr std::size_t read_chunk_bytes = 1024;
 // The input buffer doubles from this size, so that its largest size is just above that of
 // the largest message instead of twice as much.
-constexpr std::size_t first_input_bytes = (statement_message_limit + 4096) / 1024;
+constexpr std::size_t first_input_bytes = largest_input_bytes / 1024;
 // An input buffer with more capacity than this is released if it is mostly empty.
 constexpr std::size_t max_idle_buffer_bytes = 4096;
 // A statement that runs exists as parsed and as encoded for the member.
 constexpr std::size_t copies_of_statement = 2;
+// A statement at a member compares and copies the session's values: those to be sent,
+// the same encoded, and the contents of the connection afterwards.
+constexpr std::size_t copies_of_values = 3;
 // Node of a map, two strings and the allocator's headers, measured at 200 bytes at most.
 constexpr std::size_t entry_overhead_bytes = 200;
 
@@ -129,14 +132,19 @@
     }
 }
 
-// Ordinary statements are below the allowance and not accounted.
-std::optional<error> caller_session::hold_statement()
+// Ordinary statements of sessions with few values are below the allowance and not
+// accounted.
+std::optional<error> caller_session::hold_statement(statement_verb verb)
 {
-    if (message_bytes_ <= registry_.allowance()) {
+    bool uses_values = verb == statement_verb::read || verb == statement_verb::write ||
+                       verb == statement_verb::execute;
+    auto values = uses_values ? holdings_.of(memory_use::values) : 0;
+    if (message_bytes_ <= registry_.allowance() && values <= registry_.allowance()) {
         return std::nullopt;
     }
-    auto refusal = registry_.hold(*this, memory_use::statement,
-                                  copies_of_statement * message_bytes_);
+    auto refusal =
+        registry_.hold(*this, memory_use::statement,
+                       copies_of_statement * message_bytes_ + copies_of_values * values);
     if (!refusal) {
         return std::nullopt;
     }
--- a/src/libpapayabridge/session/members/member_connection.cpp
+++ b/src/libpapayabridge/session/members/member_connection.cpp
@@ -15,6 +15,9 @@
 // Limits the rows of one answer; a larger answer is refused as a whole.
 constexpr std::size_t max_answer_bytes = 16 * 1024 * 1024;
 
+// An empty buffer with more capacity is released; ordinary answers fit into 16 reads.
+constexpr std::size_t max_idle_buffer_bytes = 64 * 1024;
+
 } // namespace
 
 member_connection::member_connection(net::any_io_executor executor,
@@ -147,6 +150,9 @@
     if (input_.size() == consumed_) {
         input_.clear();
         consumed_ = 0;
+        if (input_.capacity() > max_idle_buffer_bytes) {
+            input_.shrink_to_fit();
+        }
     }
     socket_.expires_never();
     co_return answer;
--- a/src/libpapayabridge/session/members/member_pool.cpp
+++ b/src/libpapayabridge/session/members/member_pool.cpp
@@ -21,6 +21,9 @@
 // How long a connection may stay idle. A member drops the connections of a machine
 // without power after three seconds.
 constexpr std::chrono::milliseconds max_idle_time{3000};
+// A connection with more session values and prepared shapes is not kept. 256 values of
+// some hundred bytes are below this; 70 such connections to a member hold 35 MB.
+constexpr std::size_t max_idle_contents_bytes = 512 * 1024;
 
 } // namespace
 
@@ -351,6 +354,14 @@
         (*next)->wakeup.cancel();
         return;
     }
+    if (connection->contents.value_bytes + connection->contents.shape_bytes >
+        max_idle_contents_bytes)
+    {
+        auto id = member;
+        connection.reset();
+        on_closed(id);
+        return;
+    }
     connection->idle_since = steady_clock::now();
     state->idle.push_back(std::move(connection));
     pass_on_room(state->address.id, *state);
--- a/testsuite/unruly-callers/run.py
+++ b/testsuite/unruly-callers/run.py
@@ -103,6 +103,13 @@
         yield f"QUERY q{number} WRITE x ".encode() + b"a" * 524288 + b"\r\n"
 
 
+def prepare_shapes():
+    yield OPENING
+    for number in range(60):
+        yield (f"QUERY q1 PREPARE p READ {number} ".encode() + b"a" * 800000 +
+               b"\r\nQUERY q2 EXECUTE p x\r\nQUERY q3 CLOSE p\r\n")
+
+
 def exceed_limit():
     yield OPENING
     for _ in range(16):
@@ -118,6 +125,7 @@
     ("stop in a message", 80, stop_in_message, False),
     ("stop in the opening", 80, stop_in_opening, False),
     ("set values", 10, set_values, True),
+    ("prepare shapes", 2, prepare_shapes, True),
     ("pipeline writes", 80, pipeline_writes, False),
     ("exceed the limit", 80, exceed_limit, False),
     ("say nothing", 400, say_nothing, False),
