Reports about primaries go in one message, and failed watches wait longer each time

Each entry told three keepers of every primary that it could not use, one message a service each 150 ms, and answered suspicions the same way; a watch that failed was tried at the next keeper after 20 ms, over a new connection.

One message now holds all of an entry's reports, as often as the size of the fleet allows (150 to 400 ms, they expire after 700). A failed watch waits 20 ms, then up to twice as long each time, to 640 ms, spread at random. The first answer, which holds the whole state, may take 0.5 s longer. Watchers get updates every 2 ms per watcher at most.

--- a/src/include/papayabridge/keeper_client.hpp
+++ b/src/include/papayabridge/keeper_client.hpp
@@ -128,11 +128,9 @@
     /// The status of the keeper at \p keeper.
     net::awaitable<result<keeper_status>> status(tcp::endpoint keeper);
 
-    /// Reports an unusable member to the keepers, without waiting for answers.
-    void report_member_trouble(const member_failure& trouble);
-    /// Tells the keepers what was acknowledged of a suspected primary's commits. Returns
-    /// at once; the report may be lost.
-    void report_commits(const commit_report& report);
+    /// Tells the keepers about primaries, without waiting for answers. The report may be
+    /// lost.
+    void report_primaries(const primary_report& report);
 
     /// Replaces the keepers; \p keepers must be in order of distance. The one in use
     /// stays in use if it is among them, until the nearest has answered a probe.
@@ -157,12 +155,13 @@
     /// Selects the keeper after \p asked, unless another was selected meanwhile.
     void advance_from(const tcp::endpoint& asked);
     const tcp::endpoint& select_keeper();
-    void tell(const char* method, rpc_message message);
 
     net::any_io_executor executor_;
     std::shared_ptr<rpc_clients> clients_;
     std::vector<tcp::endpoint> keepers_;
     std::chrono::milliseconds nearest_probe_interval_;
+    /// Number of watches that failed since the last answer.
+    unsigned failed_watches_ = 0;
     /// Shared with a probe in progress; replaced by set_keepers().
     std::shared_ptr<keeper_selection> selection_ = std::make_shared<keeper_selection>();
 };
--- a/src/include/papayabridge/pool_state.hpp
+++ b/src/include/papayabridge/pool_state.hpp
@@ -131,6 +131,17 @@
 Json::Value to_value(const commit_report& report);
 commit_report commit_report_from(const Json::Value& value);
 
+/// What an entry tells the keepers about the primaries that it cannot use or that are
+/// suspected.
+struct primary_report
+{
+    std::vector<member_failure> failures;
+    std::vector<commit_report> commits;
+};
+
+Json::Value to_value(const primary_report& report);
+primary_report primary_report_from(const Json::Value& value);
+
 // --- Commands ---
 
 /// Replaces the published configuration if the version is higher than the current one.
--- a/src/libpapayabridge/core/control/pool_codec.cpp
+++ b/src/libpapayabridge/core/control/pool_codec.cpp
@@ -180,6 +180,36 @@
     return report;
 }
 
+Json::Value to_value(const primary_report& report)
+{
+    Json::Value value;
+    value["failures"] = Json::Value(Json::arrayValue);
+    for (const auto& failure : report.failures) {
+        value["failures"].append(to_value(failure));
+    }
+    value["commits"] = Json::Value(Json::arrayValue);
+    for (const auto& commits : report.commits) {
+        value["commits"].append(to_value(commits));
+    }
+    return value;
+}
+
+primary_report primary_report_from(const Json::Value& value)
+{
+    primary_report report;
+    for (const auto& failure : value["failures"]) {
+        report.failures.push_back(member_failure_from(failure));
+    }
+    for (const auto& commits : value["commits"]) {
+        report.commits.push_back(commit_report_from(commits));
+    }
+    if (value.isMember("member")) {
+        // Earlier versions send one failure a message.
+        report.failures.push_back(member_failure_from(value));
+    }
+    return report;
+}
+
 Json::Value encode(const publish_configuration& change)
 {
     auto value = named("publish_configuration");
--- a/src/libpapayabridge/core/control/update_batch.cpp
+++ b/src/libpapayabridge/core/control/update_batch.cpp
@@ -1,17 +1,26 @@
 #include "update_batch.hpp"
 
+#include <algorithm>
+
 namespace papayabridge {
 
 namespace {
 
 // An entry that starts or is lost is also noticed by the links to it.
 constexpr std::chrono::milliseconds routine_delay{200};
-// An update costs a keeper well under a millisecond, so updates take less than half of
-// its time.
-constexpr std::size_t watchers_per_millisecond = 1;
+// An update of one watcher costs a keeper about 0.25 ms of a processor of which it has
+// 0.3, so that continuous updates take less than half of its time.
+constexpr std::chrono::milliseconds time_per_watcher{2};
 // Changes of primary and configurations have to arrive well within the time that
 // statements wait for them.
-constexpr std::chrono::milliseconds max_interval{100};
+constexpr std::chrono::milliseconds max_interval{150};
+// A first failure is often that of one keeper. Later ones mean that the keepers or the
+// links are overloaded, and each call adds to that.
+constexpr std::chrono::milliseconds first_pause{20};
+constexpr unsigned max_doublings = 5;
+// Reports that are not repeated within 700 ms expire.
+constexpr std::chrono::milliseconds min_report_interval{150};
+constexpr std::chrono::milliseconds max_report_interval{400};
 // A few commands are sent whatever a snapshot would cost.
 constexpr std::size_t few_commands = 16;
 
@@ -32,8 +41,21 @@
 
 std::chrono::milliseconds update_interval(std::size_t watchers)
 {
-    return std::min(std::chrono::milliseconds(watchers / watchers_per_millisecond),
-                    max_interval);
+    return std::min(time_per_watcher * static_cast<int>(watchers), max_interval);
+}
+
+std::chrono::milliseconds watch_pause(unsigned failures, double fraction)
+{
+    auto longest = first_pause * (1U << std::min(failures, max_doublings));
+    auto shortest = first_pause / 2;
+    return shortest + std::chrono::milliseconds(static_cast<std::int64_t>(
+                          static_cast<double>((longest - shortest).count()) * fraction));
+}
+
+std::chrono::milliseconds report_interval(std::size_t entries)
+{
+    return std::clamp(std::chrono::milliseconds(entries), min_report_interval,
+                      max_report_interval);
 }
 
 bool prefers_snapshot(std::size_t commands, std::size_t command_bytes,
--- a/src/libpapayabridge/core/control/update_batch.hpp
+++ b/src/libpapayabridge/core/control/update_batch.hpp
@@ -21,6 +21,13 @@
 /// The least time between two updates of all watchers of a keeper that has this many.
 std::chrono::milliseconds update_interval(std::size_t watchers);
 
+/// How long a watcher waits after \p failures failed calls in a row before it asks the
+/// next keeper. \p fraction, from 0 to 1, is drawn anew for each wait.
+std::chrono::milliseconds watch_pause(unsigned failures, double fraction);
+
+/// How often one of \p entries entries repeats its reports about primaries.
+std::chrono::milliseconds report_interval(std::size_t entries);
+
 /// Whether a watcher gets a snapshot of \p snapshot_bytes in place of \p commands that
 /// are \p command_bytes long.
 bool prefers_snapshot(std::size_t commands, std::size_t command_bytes,
--- a/src/libpapayabridge/net/keeper_client.cpp
+++ b/src/libpapayabridge/net/keeper_client.cpp
@@ -1,11 +1,14 @@
 #include <papayabridge/keeper_client.hpp>
 
+#include "core/control/update_batch.hpp"
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <papayabridge/json.hpp>
+#include <random>
 
 namespace papayabridge {
 
@@ -13,8 +16,8 @@
 
 constexpr std::chrono::milliseconds propose_attempt{1500};
 constexpr std::chrono::milliseconds propose_pause{30};
-constexpr std::chrono::milliseconds failure_pause{20};
 constexpr std::chrono::milliseconds watch_grace{700};
+constexpr std::chrono::milliseconds snapshot_grace{1200};
 constexpr std::chrono::milliseconds status_timeout{1000};
 constexpr std::chrono::milliseconds tell_timeout{300};
 // Keepers that are told of a problem. Of five or more, two may be lost at once.
@@ -35,6 +38,12 @@
     }
 }
 
+double random_fraction()
+{
+    static std::minstd_rand random(std::random_device{}());
+    return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
 net::awaitable<void> pause(net::any_io_executor executor, time_point until)
 {
     net::steady_timer timer(executor);
@@ -131,33 +140,22 @@
 // To several keepers: the one that is asked otherwise may be in trouble, too, and only
 // the one that leads acts on it. In a small group it is among them; in a larger one they
 // pass the message on to it.
-void keeper_client::tell(const char* method, rpc_message message)
+void keeper_client::report_primaries(const primary_report& report)
 {
+    rpc_message request;
+    request.body = to_value(report);
+    request.body["forwarded"] = keepers_.size() <= told_keepers;
     auto deadline = steady_clock::now() + tell_timeout;
-    message.body["forwarded"] = keepers_.size() <= told_keepers;
     auto count = std::min(keepers_.size(), told_keepers);
     for (std::size_t i = 0; i < count; ++i) {
         const auto& place = keepers_[(selection_->current + i) % keepers_.size()];
-        net::co_spawn(executor_,
-                      call_once(&clients_->client_to(place), method, message, deadline),
-                      net::detached);
+        net::co_spawn(
+            executor_,
+            call_once(&clients_->client_to(place), "keeper.trouble", request, deadline),
+            net::detached);
     }
 }
 
-void keeper_client::report_member_trouble(const member_failure& trouble)
-{
-    rpc_message request;
-    request.body = to_value(trouble);
-    tell("keeper.trouble", std::move(request));
-}
-
-void keeper_client::report_commits(const commit_report& report)
-{
-    rpc_message request;
-    request.body = to_value(report);
-    tell("keeper.commits", std::move(request));
-}
-
 net::awaitable<result<command_outcome>> keeper_client::propose(command change,
                                                                time_point deadline)
 {
@@ -209,13 +207,17 @@
     }
     auto asked = select_keeper();
     auto& client = clients_->client_to(asked);
-    auto deadline = steady_clock::now() + wait + watch_grace;
+    // The first answer holds the whole state, which takes a while on a narrow link.
+    auto grace = from == control_index() ? snapshot_grace : watch_grace;
+    auto deadline = steady_clock::now() + wait + grace;
     auto answer = co_await client.call("keeper.watch", std::move(request), deadline);
     if (!answer) {
         advance_from(asked);
-        co_await pause(executor_, steady_clock::now() + failure_pause);
+        auto wait_time = watch_pause(failed_watches_++, random_fraction());
+        co_await pause(executor_, steady_clock::now() + wait_time);
         co_return answer.error();
     }
+    failed_watches_ = 0;
     auto update = watch_update_from(answer.value().body);
     if (update && update.value().applied < from) {
         // What was in force must not be replaced by what was before it.
--- a/src/libpapayabridge/session/session_entry.cpp
+++ b/src/libpapayabridge/session/session_entry.cpp
@@ -25,17 +25,8 @@
 // state it receives.
 constexpr std::chrono::milliseconds confirmation_wait{3000};
 constexpr std::chrono::milliseconds propose_timeout{2000};
-// How often members are checked and an unusable primary is reported to the keepers.
-constexpr std::chrono::milliseconds check_period{150};
-// A member that answers none of its outstanding statements for this long is unusable;
-// an overloaded member still answers some of them.
-constexpr std::chrono::milliseconds silence_limit{450};
-// A failure that does not recur within this time is no longer reported.
-constexpr std::chrono::milliseconds failure_validity{600};
 // When descriptors run out, accepting fails until a connection is closed.
 constexpr std::chrono::milliseconds accept_pause{20};
-// How often unopened sessions are looked for; a tenth of their timeout.
-constexpr std::chrono::milliseconds caller_check_period{1000};
 
 std::uint64_t new_incarnation()
 {
@@ -54,19 +45,6 @@
             .max_sessions = settings.max_sessions.value_or(descriptor_limit() / 4 * 3)};
 }
 
-// Start of the period in which the member has answered no outstanding statement, if
-// that is longer than an overloaded member would need.
-std::optional<time_point> unanswered_since(const member_health& health, time_point now)
-{
-    if (health.outstanding > 0 && now - health.last_answer > silence_limit) {
-        return health.last_answer;
-    }
-    if (health.writes_outstanding > 0 && now - health.last_write_answer > silence_limit) {
-        return health.last_write_answer;
-    }
-    return std::nullopt;
-}
-
 } // namespace
 
 session_entry::session_entry(daemon_runtime& runtime, session_settings settings,
@@ -319,14 +297,23 @@
         }
     }
     log_member_changes(*services_.view, *view);
-    services_.view = view;
+    auto before = std::exchange(services_.view, view);
     pool_.update(services_.view);
     gate_.update(services_.view);
     verifier_.update(services_.view);
     members_.update(services_.view);
     limiter_.update(services_.view);
     update_keeper_endpoints();
-    report_commits();
+    bool is_suspicion_new =
+        std::any_of(view->services.begin(), view->services.end(), [&](const auto& item) {
+            const auto* known = before->service(item.first);
+            return item.second.suspected_since != control_index() &&
+                   (known == nullptr ||
+                    known->suspected_since != item.second.suspected_since);
+        });
+    if (is_suspicion_new) {
+        report_primaries();
+    }
 }
 
 // Logs each member that was added, changed or removed.
@@ -393,7 +380,7 @@
     keepers_.set_keepers(std::move(keepers));
 }
 
-// --- Metrics and member checks ---
+// --- Metrics ---
 
 void session_entry::update_gauges() const
 {
@@ -411,75 +398,4 @@
     all.gauge_of("papaya_control_index").set(log_number(state_.applied_index().value()));
 }
 
-net::awaitable<void> session_entry::check_members()
-{
-    while (true) {
-        auto view = services_.view;
-        pool_.close_unused();
-        limiter_.check();
-        report_commits();
-        if (gate_server_) {
-            gate_server_->check(view->configuration.transaction_idle_limit);
-        }
-        for (const auto& [name, service] : view->services) {
-            for (const auto& member : service.members) {
-                check_member(name, member.run.id, member.run.id == service.primary);
-            }
-        }
-        co_await sleep_for(check_period);
-    }
-}
-
-net::awaitable<void> session_entry::check_callers()
-{
-    while (true) {
-        sessions_.check();
-        co_await sleep_for(caller_check_period);
-    }
-}
-
-void session_entry::check_member(const service_name& service, const member_id& member,
-                                 bool is_primary)
-{
-    auto now = steady_clock::now();
-    auto& health = pool_.health(member);
-    auto since = unanswered_since(health, now);
-    if (since) {
-        if (now >= health.avoid_until) {
-            log_line(log_event::member_silent,
-                     {{"service", service.str()},
-                      {"member", member.str()},
-                      {"since_us", log_us(now - *since)},
-                      {"outstanding", log_number(health.outstanding)}});
-        }
-        // Statements use other members meanwhile, if there are any.
-        health.avoid_until = std::max(health.avoid_until, now + check_period);
-    } else if (now - health.last_failure < failure_validity) {
-        since = health.failing_since ? health.failing_since : health.writes_failing_since;
-    }
-    if (!since || !is_primary) {
-        return;
-    }
-    keepers_.report_member_trouble(
-        {.entry = settings_.id,
-         .service = service,
-         .member = member,
-         .duration =
-             std::chrono::duration_cast<std::chrono::milliseconds>(now - *since)});
-}
-
-// Repeated while the suspicion lasts, as a report may be lost, or another keeper may
-// lead.
-void session_entry::report_commits()
-{
-    for (const auto& [name, service] : services_.view->services) {
-        if (service.suspected_since != control_index()) {
-            keepers_.report_commits({.entry = settings_.id,
-                                     .service = name,
-                                     .suspicion = service.suspected_since,
-                                     .furthest = verifier_.furthest_unproved(name)});
-        }
-    }
-}
-
 } // namespace papayabridge
--- a/src/libpapayabridge/session/session_entry.hpp
+++ b/src/libpapayabridge/session/session_entry.hpp
@@ -47,10 +47,11 @@
     net::awaitable<void> register_self();
     net::awaitable<void> check_members();
     net::awaitable<void> check_callers();
-    void check_member(const service_name& service, const member_id& member,
-                      bool is_primary);
-    /// Reports what was acknowledged of the commits of suspected primaries.
-    void report_commits();
+    /// Since when the member has been unusable; empty if it is usable.
+    std::optional<time_point> check_member(const service_name& service,
+                                           const member_id& member);
+    /// Tells the keepers about primaries that are unusable here or suspected.
+    void report_primaries();
     net::awaitable<void> drain_and_stop();
     net::awaitable<void> announce_stop();
     bool serves_peers() const;
@@ -100,6 +101,9 @@
     bool ready_ = false;
     bool stopping_ = false;
     bool registering_ = false;
+    /// Unusable primaries, as of the last check.
+    std::vector<member_failure> failures_;
+    time_point next_report_;
 };
 
 } // namespace papayabridge
--- a/src/papayakeeper/keeper_service.cpp
+++ b/src/papayakeeper/keeper_service.cpp
@@ -54,7 +54,7 @@
         const char* name;
         method_pointer handler;
     };
-    static constexpr std::array<named_method, 9> methods{{
+    static constexpr std::array<named_method, 8> methods{{
         {"keeper.propose", &keeper_service::propose},
         {"keeper.watch", &keeper_service::watch},
         {"keeper.status", &keeper_service::status},
@@ -63,7 +63,6 @@
         {"process.events", &keeper_service::list_events},
         {"process.fault", &keeper_service::cut_links},
         {"keeper.trouble", &keeper_service::report_trouble},
-        {"keeper.commits", &keeper_service::report_commits},
     }};
     for (const auto& method : methods) {
         server.add_method(method.name,
@@ -228,7 +227,13 @@
 net::awaitable<result<rpc_message>> keeper_service::report_trouble(rpc_message request)
 {
     if (promotion_controller_ != nullptr) {
-        promotion_controller_->record_trouble(member_failure_from(request.body));
+        auto report = primary_report_from(request.body);
+        for (const auto& failure : report.failures) {
+            promotion_controller_->record_trouble(failure);
+        }
+        for (const auto& commits : report.commits) {
+            promotion_controller_->record_commits(commits);
+        }
     }
     if (!flag_of(request.body, "forwarded")) {
         co_await replicated_.notify_leader("keeper.trouble", std::move(request));
@@ -237,18 +242,6 @@
     co_return answer;
 }
 
-net::awaitable<result<rpc_message>> keeper_service::report_commits(rpc_message request)
-{
-    if (promotion_controller_ != nullptr) {
-        promotion_controller_->record_commits(commit_report_from(request.body));
-    }
-    if (!flag_of(request.body, "forwarded")) {
-        co_await replicated_.notify_leader("keeper.commits", std::move(request));
-    }
-    rpc_message answer;
-    co_return answer;
-}
-
 net::awaitable<result<rpc_message>> keeper_service::cut_links(rpc_message request)
 {
     if (!settings_.test_faults) {
--- a/src/papayakeeper/keeper_service.hpp
+++ b/src/papayakeeper/keeper_service.hpp
@@ -35,7 +35,6 @@
     net::awaitable<result<rpc_message>> list_events(rpc_message request);
     net::awaitable<result<rpc_message>> cut_links(rpc_message request);
     net::awaitable<result<rpc_message>> report_trouble(rpc_message request);
-    net::awaitable<result<rpc_message>> report_commits(rpc_message request);
 
     /// Confirms the state again and again while watchers ask how old it may be, once for
     /// all of them.
