The test of rendered settings knows sections of templates

entry.json.in has had a section since accounts ({{#bounds.revokeStrict}}), which the test's renderer took for a field (KeyError). It renders both templates with and without the fields of a strict deployment now, and checks that the withdrawal time is passed on.

--- a/testsuite/rendered-settings/run.py
+++ b/testsuite/rendered-settings/run.py
@@ -14,24 +14,42 @@
 CHECK_SECONDS = 30
 ACCEPTED, REFUSED = 0, 3
 PLACEHOLDER = re.compile(r"\{\{([^}|]+)(\|json)?\}\}")
+SECTION = re.compile(r"\{\{#([^}]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
+# Fields that only some deployments have, and what a program gets from them.
+STRICT_BOUNDS = {"revokeStrict": True, "revokeMs": 5000}
 PROGRAMS = {"entry.json.in": "papayabridged", "keeper.json.in": "papayakeeper"}
 
 
-def value_of(path):
+def example_fields(more_bounds):
     with open(os.path.join(DEPLOY, "example-fields.json"), encoding="utf-8") as file:
-        found = json.load(file)
+        fields = json.load(file)
+    fields["bounds"].update(more_bounds)
+    return fields
+
+
+def value_of(fields, path):
+    found = fields
     for name in path.split("."):
         found = found[int(name)] if isinstance(found, list) else found[name]
     return found
 
 
-def render(template):
+def is_set(fields, path):
+    try:
+        return bool(value_of(fields, path))
+    except (KeyError, IndexError):
+        return False
+
+
+def render(template, fields):
     def replace(match):
-        value = value_of(match.group(1))
+        value = value_of(fields, match.group(1))
         return json.dumps(value) if match.group(2) or not isinstance(value, str) else value
 
     with open(os.path.join(DEPLOY, template), encoding="utf-8") as file:
-        return PLACEHOLDER.sub(replace, file.read())
+        text = SECTION.sub(lambda match: match.group(2) if is_set(fields, match.group(1)) else "",
+                           file.read())
+    return PLACEHOLDER.sub(replace, text)
 
 
 def check(program, text):
@@ -45,8 +63,8 @@
     return done.returncode, done.stdout + done.stderr
 
 
-def problems_of(template, program):
-    text = render(template)
+def problems_of(template, program, more_bounds):
+    text = render(template, example_fields(more_bounds))
     code, output = check(program, text)
     if code != ACCEPTED:
         yield f"{template}: exits {code}: {output}"
@@ -66,7 +84,11 @@
     programs = os.path.abspath(parser.parse_args().bin)
     problems = []
     for template, program in PROGRAMS.items():
-        problems += problems_of(template, os.path.join(programs, program))
+        for more_bounds in ({}, STRICT_BOUNDS):
+            problems += problems_of(template, os.path.join(programs, program), more_bounds)
+    strict = render("entry.json.in", example_fields(STRICT_BOUNDS))
+    if '"key_withdrawal_ms": 5000' not in strict:
+        problems.append("entry.json.in: keys that are withdrawn in time are not asked for")
     print("\n".join(problems))
     print(f"rendered-settings: {len(PROGRAMS)} templates, {len(problems)} problems")
     return 1 if problems else 0
