Entries that start are not sent a state that they cannot use yet

Until an entry knows that a state is confirmed, it asks from the beginning, and every answer held the whole state, also while the keepers had no leader to confirm it.

Test: keeper_group_test.unconfirmed_state_is_sent_only_to_those_who_take_it.

--- a/src/include/papayabridge/keeper_client.hpp
+++ b/src/include/papayabridge/keeper_client.hpp
@@ -54,6 +54,9 @@
 {
     /// The keeper first tries to confirm that its state is up to date.
     bool confirm = false;
+    /// The answer holds no changes unless the state is confirmed. Otherwise every retry
+    /// of a fleet that starts would carry the whole state.
+    bool only_confirmed = false;
     /// The answer tells `confirmed_age`.
     bool wants_confirmed_age = false;
 };
--- a/src/libpapayabridge/net/keeper_client.cpp
+++ b/src/libpapayabridge/net/keeper_client.cpp
@@ -202,6 +202,9 @@
     request.body["incarnation"] = Json::UInt64(entry.incarnation);
     request.body["confirm"] = options.confirm;
     request.body["packed"] = true;
+    if (options.only_confirmed) {
+        request.body["only_confirmed"] = true;
+    }
     if (options.wants_confirmed_age) {
         request.body["dated"] = true;
     }
--- a/src/libpapayabridge/session/session_entry.cpp
+++ b/src/libpapayabridge/session/session_entry.cpp
@@ -210,6 +210,8 @@
         auto asked = steady_clock::now();
         auto asked_boottime = boottime_now();
         watch_options options{.confirm = !state_confirmed_,
+                              .only_confirmed =
+                                  !state_confirmed_ && !has_waited_for_confirmation(),
                               .wants_confirmed_age = services_.max_key_age.has_value()};
         auto update = co_await keepers_.watch(from, watch_wait, self, options);
         if (update) {
@@ -241,13 +243,19 @@
     }
 }
 
+bool session_entry::has_waited_for_confirmation() const
+{
+    return steady_clock::now() - started_ > confirmation_wait;
+}
+
 void session_entry::apply_update(watch_update update)
 {
     bool changed = update.snapshot.has_value() || !update.commands.empty();
     // A keeper that has just started may hold an older configuration than the one this
     // entry used before its restart.
-    bool waited = steady_clock::now() - started_ > confirmation_wait;
-    state_confirmed_ = state_confirmed_ || update.is_up_to_date || waited;
+    bool is_accepted =
+        update.is_up_to_date || (update.snapshot && has_waited_for_confirmation());
+    state_confirmed_ = state_confirmed_ || is_accepted;
     if (!state_confirmed_) {
         return;
     }
--- a/src/libpapayabridge/session/session_entry.hpp
+++ b/src/libpapayabridge/session/session_entry.hpp
@@ -57,6 +57,7 @@
     bool serves_peers() const;
     net::awaitable<void> sleep_for(std::chrono::milliseconds time);
     void apply_update(watch_update update);
+    bool has_waited_for_confirmation() const;
     void update_view();
     void update_keeper_endpoints();
     void update_gauges() const;
--- a/src/papayakeeper/keeper_group_test.hpp
+++ b/src/papayakeeper/keeper_group_test.hpp
@@ -203,11 +203,12 @@
     }
 
     // One watch of an entry that knows nothing yet.
-    result<watch_update> watch(group_keeper& at)
+    result<watch_update> watch(group_keeper& at, watch_options options = {})
     {
         keeper_client client(context.get_executor(), clients_, {at.settings().rpc});
         return run_awaitable(
-            context, client.watch(control_index(), std::chrono::milliseconds(10), {}));
+            context,
+            client.watch(control_index(), std::chrono::milliseconds(10), {}, options));
     }
 
     void silence_open_connections()
--- a/src/papayakeeper/keeper_service.cpp
+++ b/src/papayakeeper/keeper_service.cpp
@@ -117,6 +117,15 @@
             net::co_spawn(executor, keep_confirmed(), net::detached);
         }
     }
+    if (flag_of(request.body, "only_confirmed") && !is_up_to_date) {
+        // So that a keeper that cannot write is not asked in a busy loop.
+        net::steady_timer timer(co_await net::this_coro::executor, leaderless_wait);
+        co_await timer.async_wait(net::as_tuple(net::use_awaitable));
+        watch_update unconfirmed{.applied = from, .is_current = replicated_.is_current()};
+        rpc_message answer;
+        answer.body = to_value(unconfirmed);
+        co_return answer;
+    }
     auto& applied = replicated_.applied();
     auto deadline = steady_clock::now() + wait;
     if (!replicated_.is_current()) {
--- a/src/papayakeeper/keeper_service_test.cpp
+++ b/src/papayakeeper/keeper_service_test.cpp
@@ -73,6 +73,31 @@
     EXPECT_LT(steady_clock::now() - asked_at, std::chrono::seconds(10));
 }
 
+// Entries that started before the keepers had a leader got the whole state at each retry,
+// which they could not use yet. At 300 entries the links were full of it.
+TEST_F(keeper_group_test, unconfirmed_state_is_sent_only_to_those_who_take_it)
+{
+    start();
+    auto& stalled = *followers().front();
+    ASSERT_TRUE(propose_configuration(leader(), 0));
+    watch_options only_confirmed{.confirm = true, .only_confirmed = true};
+    auto confirmed = watch(leader(), only_confirmed);
+    ASSERT_TRUE(confirmed);
+    EXPECT_TRUE(confirmed.value().is_up_to_date);
+    EXPECT_TRUE(confirmed.value().snapshot || !confirmed.value().commands.empty());
+
+    stalled.files.set(troubled_files::state::stalled);
+    ASSERT_TRUE(propose_configuration(leader(), 1));
+    auto refused = watch(stalled, only_confirmed);
+    ASSERT_TRUE(refused);
+    EXPECT_FALSE(refused.value().is_up_to_date);
+    EXPECT_FALSE(refused.value().snapshot);
+    EXPECT_TRUE(refused.value().commands.empty());
+    auto any = watch(stalled, {.confirm = true});
+    ASSERT_TRUE(any);
+    EXPECT_TRUE(any.value().snapshot || !any.value().commands.empty());
+}
+
 // An entry that asks its nearest keeper for its status must not be drawn back to it.
 TEST_F(keeper_group_test, the_status_of_a_keeper_tells_that_it_is_behind)
 {
