--- a/src/libpapayabridge/session/limits/fleet_limiter_state.cpp
+++ b/src/libpapayabridge/session/limits/fleet_limiter_state.cpp
@@ -95,8 +95,8 @@
             buckets.erase(name);
         } else if (buckets.count(name) == 0) {
             bool was_unlimited = before && !is_limited(*before, name);
-            // Nobody has missed this entry since its previous run, whose grants ended
-            // with it.
+            // The fleet still lists this entry as up, so no other one has been the home
+            // since its previous run, and its own grants ended with that.
             bool was_home = !before && next->gate_entries.count(options.self) != 0;
             buckets.emplace(name, was_unlimited
                                       ? token_bucket::full(account->limit, now())
