--- a/src/libpapayabridge/core/control/update_batch.cpp
+++ b/src/libpapayabridge/core/control/update_batch.cpp
@@ -8,8 +8,8 @@
 
 // An entry that starts or is lost is also noticed by the links to it.
 constexpr std::chrono::milliseconds routine_delay{200};
-// An update of one watcher costs a keeper about 0.25 ms of a processor of which it has
-// 0.3, so that continuous updates take less than half of its time.
+// Leaves a keeper time for its other work while changes come without a break: its
+// processor is a fraction of a core, and each watcher's update is sent by itself.
 constexpr std::chrono::milliseconds time_per_watcher{2};
 // Changes of primary and configurations have to arrive well within the time that
 // statements wait for them.
