--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -80,11 +80,13 @@
         with open(path, "w", encoding="utf-8") as out:
             out.write(text)
         program = {"entry": "papayabridged", "keeper": "papayakeeper"}[self.role]
-        log = open(os.path.join(self.site.folder, self.name + ".log"), "ab")
-        self.child = subprocess.Popen([os.path.join(ROOT, "target", "bin", program),
-                                       "--settings", path],
-                                      cwd=ROOT, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
-        log.close()
+        # No process is started once the end of the script has begun.
+        with self.site.starting, open(os.path.join(self.site.folder, self.name + ".log"), "ab") as log:
+            if self.site.is_closed:
+                return
+            self.child = subprocess.Popen([os.path.join(ROOT, "target", "bin", program),
+                                           "--settings", path], cwd=ROOT, stdout=log, stderr=log,
+                                          stdin=subprocess.DEVNULL)
         self.site.record(f"platform starts {self.name} at {self.address}, bootstrap {bootstrap}")
 
     def kill(self):
@@ -213,6 +215,7 @@
     def __init__(self, case_folder, entries=6, services=3):
         self.record = Record(case_folder)
         self.folder = tempfile.mkdtemp(prefix="papaya-case-")
+        self.starting, self.is_closed = threading.Lock(), False
         random.seed()
         self.net = f"127.{random.randrange(40, 250)}.{random.randrange(1, 250)}."
         probe = self.net + "1"
@@ -232,6 +235,8 @@
         return self
 
     def __exit__(self, *failure):
+        with self.starting:
+            self.is_closed = True
         for machine in self.keepers + self.entries:
             if machine.running():
                 machine.child.kill()
